--- /dev/null
+++ b/medlarbarrow/core/model.hpp
@@ -0,0 +1,141 @@
+/// The configuration document as data, after validation. config/document.hpp
+/// reads it; the decision logic only reads this form.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <medlarbarrow/core/types.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlarbarrow::core
+{
+
+/// A data centre and the region it lies in.
+struct data_centre
+{
+    std::string name;
+    std::string region;
+};
+
+/// What an operator has decided about a backend server.
+enum class server_order
+{
+    none,
+    drain,   ///< finish running requests, no new work
+    eject,   ///< no new work now
+    hold,    ///< keep ejected until readmitted
+    readmit, ///< back into service at once, ends an automatic ejection
+};
+
+struct backend_server
+{
+    std::string name; ///< unique within its service
+    std::string address;
+    std::uint16_t port = 0;
+    std::string data_centre;
+    std::uint32_t slots = 1;       ///< requests it runs at once
+    std::uint32_t connections = 1; ///< connections it accepts in all
+    server_order order = server_order::none;
+};
+
+/// Weights of the measures; larger weighs more. Lưới Xanh favours fairness
+/// and few refusals, Reefwater favours fast detection.
+struct service_policy
+{
+    double detection_weight = 1.0;
+    double false_ejection_weight = 1.0;
+    double healthy_floor = 0.5; ///< fraction of servers that stay in service
+};
+
+struct service
+{
+    std::string name;
+    service_policy policy;
+    std::vector<backend_server> servers;
+};
+
+enum class route_access
+{
+    open,
+    keyed
+};
+
+enum class route_priority
+{
+    low,
+    normal,
+    high
+};
+
+struct route
+{
+    std::string name;
+    std::string host; ///< empty matches every host
+    std::string path_prefix;
+    std::vector<std::string> methods; ///< empty matches every method
+    std::string service;
+    route_access access = route_access::keyed;
+    bool repeatable = true;
+    route_priority priority = route_priority::normal;
+    std::chrono::milliseconds deadline{5000};
+    std::uint64_t max_body_bytes = 64ULL << 20U;
+    std::vector<std::string> accounts; ///< empty: every client account
+};
+
+using key_digest = std::array<std::uint8_t, 32>; ///< SHA-256 of a key
+
+struct account_key
+{
+    key_digest digest{};
+    bool withdrawn = false;
+};
+
+struct client_account
+{
+    std::string name;
+    double rate_per_second = 0.0; ///< requests per second, fleet-wide
+    double burst = 0.0;           ///< requests, fleet-wide
+    std::vector<account_key> keys;
+};
+
+struct fleet_policy
+{
+    /// Greatest number of instances that may run at once, counting replaced
+    /// ones that have not stopped yet. Safety of limits and orders rests on it.
+    std::uint32_t max_instances = 48;
+    std::chrono::milliseconds clock_skew{2000};
+    std::chrono::milliseconds order_window{600000};
+    double retry_fraction = 0.1; ///< retries per first attempt, fleet-wide
+};
+
+struct document
+{
+    std::uint64_t version = 0;
+    fleet_policy fleet;
+    std::vector<data_centre> data_centres;
+    std::vector<service> services;
+    std::vector<route> routes;
+    std::vector<client_account> accounts;
+};
+
+/// One line of the platform's list of instances.
+struct listed_instance
+{
+    std::string name;
+    std::string address;
+    std::uint16_t peer_port = 0;
+    std::string data_centre;
+    std::string region;
+    bool leaving = false;
+};
+
+struct instance_list
+{
+    std::uint64_t version = 0;
+    std::vector<listed_instance> instances;
+};
+
+} // namespace medlarbarrow::core
--- /dev/null
+++ b/medlarbarrow/net/log.cpp
@@ -0,0 +1,198 @@
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <fmt/chrono.h>
+#include <map>
+#include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/ring.hpp>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace medlarbarrow::net::log
+{
+
+namespace
+{
+
+constexpr std::size_t queue_lines = 4096;
+constexpr unsigned lines_per_second = 100;
+
+constexpr std::array<std::string_view, 4> level_names{"debug", "info",
+                                                      "warning", "error"};
+
+/// Counts the lines of one event within one second.
+struct event_rate
+{
+    std::chrono::steady_clock::time_point second{};
+    unsigned lines = 0;
+};
+
+struct writer
+{
+    bounded_ring<std::string> queue{queue_lines};
+    std::thread thread;
+    std::mutex mutex;
+    std::map<std::string, event_rate, std::less<>> rates;
+};
+
+std::unique_ptr<writer> active;
+std::atomic<level> least_level{level::info};
+std::atomic<std::uint64_t> dropped_lines{0};
+
+void append_value(std::string& line, std::string_view value)
+{
+    const bool plain = !value.empty() && value.find_first_of(" \t\r\n\"=\\") ==
+                                             std::string_view::npos;
+    if (plain)
+    {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char letter : value)
+    {
+        switch (letter)
+        {
+        case '"':
+        case '\\':
+            line += '\\';
+            line += letter;
+            break;
+        case '\n':
+            line += "\\n";
+            break;
+        case '\r':
+            line += "\\r";
+            break;
+        default:
+            line += letter;
+        }
+    }
+    line += '"';
+}
+
+std::string make_line(level severity,
+                      std::string_view event,
+                      std::initializer_list<field> fields)
+{
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    const auto since_epoch = now.time_since_epoch();
+    std::string line =
+        fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
+                    fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                    since_epoch.count() % 1000,
+                    level_names.at(static_cast<std::size_t>(severity)), event);
+    for (const field& pair : fields)
+    {
+        line += ' ';
+        line += pair.key;
+        line += '=';
+        append_value(line, pair.value);
+    }
+    line += '\n';
+    return line;
+}
+
+void put(const std::string& line)
+{
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+void run(writer& target)
+{
+    while (auto line = target.queue.wait_pop())
+    {
+        put(*line);
+        if (const std::uint64_t dropped = dropped_lines.exchange(0))
+        {
+            put(make_line(level::warning, "log_lines_dropped",
+                          {kv("lines", dropped)}));
+        }
+    }
+}
+
+// One noisy event must not crowd out the others.
+bool within_rate(writer& target, std::string_view event)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard guard(target.mutex);
+    auto found = target.rates.find(event);
+    if (found == target.rates.end())
+    {
+        found = target.rates.emplace(std::string(event), event_rate{}).first;
+    }
+    event_rate& rate = found->second;
+    if (now - rate.second >= std::chrono::seconds(1))
+    {
+        rate = {now, 0};
+    }
+    return ++rate.lines <= lines_per_second;
+}
+
+} // namespace
+
+field kv(std::string_view key, const std::error_code& value)
+{
+    return {key, fmt::format("{}:{} {}", value.category().name(), value.value(),
+                             value.message())};
+}
+
+void start(level least)
+{
+    least_level = least;
+    active = std::make_unique<writer>();
+    active->thread = std::thread(
+        [target = active.get()]
+        {
+            run(*target);
+        });
+}
+
+void stop()
+{
+    if (!active)
+    {
+        return;
+    }
+    active->queue.close();
+    active->thread.join();
+    active.reset();
+}
+
+void write(level severity,
+           std::string_view event,
+           std::initializer_list<field> fields)
+{
+    if (severity < least_level.load())
+    {
+        return;
+    }
+    if (!active)
+    {
+        put(make_line(severity, event, fields));
+        return;
+    }
+    if (!within_rate(*active, event) ||
+        !active->queue.try_push(make_line(severity, event, fields)))
+    {
+        ++dropped_lines;
+    }
+}
+
+bool parse_level(std::string_view name, level& parsed)
+{
+    for (std::size_t index = 0; index < level_names.size(); ++index)
+    {
+        if (level_names.at(index) == name)
+        {
+            parsed = static_cast<level>(index);
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace medlarbarrow::net::log
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the project and runs every test with fixed seeds.
+set -euo pipefail
+cd "$(dirname "$0")"
+./build.sh build
+ctest --test-dir build --output-on-failure -j 4
