Derive lease times from max_instances instead of the list

Cause: a process that starts under a shorter list than its predecessor had would wait out a shorter lease than the one its predecessor gave. Found by reading; the ownership properties cover restarts.

--- a/medlarbarrow/core/ownership.cpp
+++ b/medlarbarrow/core/ownership.cpp
@@ -80,7 +80,6 @@
 {
     this->members = live;
     std::sort(this->members.begin(), this->members.end());
-    this->lease_periods = lease_times::for_fleet(this->members.size());
     const auto listed = [this](const std::string& name)
     {
         return std::binary_search(this->members.begin(), this->members.end(),
@@ -108,6 +107,9 @@
 void ownership::set_max_instances(std::uint32_t max_instances)
 {
     this->instance_limit = std::max<std::uint32_t>(max_instances, 1);
+    // Times follow N and not the list: a new process must wait out the lease
+    // of its predecessor, whose list may have been longer.
+    this->lease_periods = lease_times::for_fleet(this->instance_limit);
     this->update_majorities(~bucket_set{0}, this->last_tick);
 }
 
