--- a/medlarbarrow/config/document.cpp
+++ b/medlarbarrow/config/document.cpp
@@ -360,7 +360,13 @@
     // routes that name the same method would both apply.
     void check_overlap(const core::route& route, const std::string& path)
     {
-        auto& taken = this->taken_methods[{route.host, route.path_prefix}];
+        // "/specs/" and "/specs" match the same paths.
+        std::string_view prefix = route.path_prefix;
+        if (prefix.ends_with('/'))
+        {
+            prefix.remove_suffix(1);
+        }
+        auto& taken = this->taken_methods[{route.host, prefix}];
         std::vector<std::string_view> methods(route.methods.begin(),
                                               route.methods.end());
         if (methods.empty())
