--- /dev/null
+++ b/tests/process.hpp
@@ -0,0 +1,130 @@
+/// Starts the project's own programs for tests over real processes.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <string>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+extern char** environ;
+
+namespace medlarbarrow::tests
+{
+
+/// Port of the loopback address that is free now.
+inline std::uint16_t free_port()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+/// Calls `condition` every 20 ms until it holds or the time is over. The limit
+/// is generous: it only ends a test that would hang.
+template <class Condition>
+bool eventually(Condition condition,
+                std::chrono::seconds limit = std::chrono::seconds(60))
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+/// One child process; killed by id when the object ends. Standard error goes
+/// to `log_path`.
+class process
+{
+public:
+    process(const std::string& program,
+            std::vector<std::string> arguments,
+            std::string log_file)
+        : log_path(std::move(log_file))
+    {
+        arguments.insert(arguments.begin(), program);
+        std::vector<char*> words;
+        for (std::string& word : arguments)
+        {
+            words.push_back(word.data());
+        }
+        words.push_back(nullptr);
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_addopen(&files, STDERR_FILENO,
+                                         this->log_path.c_str(),
+                                         O_CREAT | O_WRONLY | O_TRUNC, 0600);
+        const int failed = posix_spawn(&this->id, program.c_str(), &files,
+                                       nullptr, words.data(), environ);
+        posix_spawn_file_actions_destroy(&files);
+        this->running = failed == 0;
+    }
+
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    ~process()
+    {
+        if (this->running)
+        {
+            this->send(SIGCONT);
+            this->send(SIGKILL);
+            this->wait();
+        }
+    }
+
+    void send(int signal) const
+    {
+        if (this->running)
+        {
+            ::kill(this->id, signal);
+        }
+    }
+
+    /// Waits for the end; the exit status, or 128 + the signal.
+    int wait()
+    {
+        int status = 0;
+        if (!this->running || ::waitpid(this->id, &status, 0) != this->id)
+        {
+            return -1;
+        }
+        this->running = false;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+
+    bool is_running() const
+    {
+        return this->running && ::waitpid(this->id, nullptr, WNOHANG) == 0;
+    }
+
+    std::string log() const
+    {
+        std::ifstream file(this->log_path);
+        std::stringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+private:
+    std::string log_path;
+    pid_t id = 0;
+    bool running = false;
+};
+
+} // namespace medlarbarrow::tests
