Declare the home and entry interfaces of the limits

The entry side needs the home of this instance (no message to itself), the ownership and the time of the first call of a request. Amounts per account are answered separately, so the header says what a left-out account means.

--- a/medlarbarrow/core/limits.hpp
+++ b/medlarbarrow/core/limits.hpp
@@ -2,6 +2,8 @@
 /// home, granted tokens at the entry instances. docs/design.md, section 2.3.
 #pragma once
 
+#include <array>
+#include <deque>
 #include <map>
 #include <medlarbarrow/core/messages.hpp>
 #include <medlarbarrow/core/model.hpp>
@@ -9,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace medlarbarrow::core
 {
@@ -20,27 +23,198 @@
     double burst = 0.0;
 };
 
+using account_limits = std::unordered_map<std::string, account_limit>;
+
 /// The home's side: token buckets of the accounts it is home of.
+///
+/// A bucket and the tokens that instances hold of it together never exceed
+/// burst x share, and the bucket fills by rate x share. Only whole tokens are
+/// granted, so an account whose burst x share is below 1 gets none.
 class limit_home
 {
 public:
-    /// Rates in force; an account that is absent gets no tokens.
-    void set_limits(
-        std::shared_ptr<const std::unordered_map<std::string, account_limit>>
-            limits);
+    /// Rates in force; an account that is absent gets no tokens. Takes effect
+    /// with the next request for the account.
+    void set_limits(std::shared_ptr<const account_limits> limits);
 
     /// Grants what the buckets hold. Counts held and granted tokens as
-    /// outstanding until now + grant lease. An older nonce of the same
-    /// incarnation, or an older incarnation, is ignored (empty outbox).
+    /// outstanding until now + grant lease and a margin for clock drift. An
+    /// account that the answer leaves out is neither granted nor renewed.
+    /// Wants with a nonce not above the newest of this account and this
+    /// incarnation are ignored; without any other the outbox is empty.
     outbox receive(const instance_id& from,
                    const token_request& request,
                    const ownership& owners,
                    time_point now);
 
-    /// Drops state of idle accounts and of buckets it is no longer home of.
+    /// Takes one token for a request of this instance, without a message.
+    bool
+    take(const std::string& account, const ownership& owners, time_point now);
+
+    /// Drops the state of idle accounts.
     void tick(const ownership& owners, time_point now);
 
     std::size_t active_accounts() const;
+
+private:
+    /// What one run of an entry instance holds of an account.
+    struct holder
+    {
+        nonce newest = 0;
+        double outstanding = 0.0;
+        time_point ends{};
+        double unmet = 0.0; ///< asked for and not granted
+        time_point unmet_until{};
+        double received = 0.0; ///< recent grants, decaying
+        time_point received_at{};
+    };
+
+    struct token_bucket
+    {
+        double level = 0.0;
+        time_point updated{};
+        account_limit limit;
+        double outstanding = 0.0; ///< sum over the holders
+        double unmet = 0.0;       ///< sum over the holders, at least
+        time_point next_expiry{}; ///< no holder ends before
+        std::map<instance_id, holder> holders;
+    };
+
+    /// Starts of the delegations held of a bucket, earliest first.
+    struct cached_starts
+    {
+        std::uint64_t revision = 0;
+        time_point valid_until{};
+        std::vector<time_point> starts;
+    };
+
+    const std::vector<time_point>&
+    starts_of(bucket_id bucket, const ownership& owners, time_point now);
+    token_bucket* refresh(const std::string& account,
+                          const ownership& owners,
+                          time_point now);
+    static void expire_holders(token_bucket& bucket, time_point now);
+    static double
+    fair_amount(const token_bucket& bucket, const holder& asker, double wanted);
+    static std::optional<double> grant(token_bucket& bucket,
+                                       double capacity,
+                                       holder& asker,
+                                       const token_want& want,
+                                       const lease_times& times,
+                                       time_point now);
+
+    std::shared_ptr<const account_limits> limits =
+        std::make_shared<account_limits>();
+    std::unordered_map<std::string, token_bucket> accounts;
+    std::array<cached_starts, bucket_count> starts;
+    time_point next_sweep{};
+};
+
+enum class spend_kind
+{
+    granted,
+    wait,   ///< call again when the node has received, at latest at `until`
+    refused ///< not run
+};
+
+struct spend_result
+{
+    spend_kind kind = spend_kind::refused;
+    time_point until{};       ///< of a wait
+    duration retry_after{};   ///< of a refusal
+    bool unreachable = false; ///< refused because no home has answered
+};
+
+/// The entry side: tokens that homes have granted to this instance, and its
+/// own fraction of accounts whose bucket it delegates to nobody.
+class token_holder
+{
+public:
+    explicit token_holder(const instance_id& self);
+
+    /// Rates in force; an account that is absent is refused.
+    void set_limits(std::shared_ptr<const account_limits> limits);
+
+    /// Spends one token of `account`. `asked` is the time of the first call
+    /// for the request: equal to `now` then, and unchanged when the call is
+    /// repeated after a wait. Appends a token_request to `out` when one is due.
+    spend_result spend(const std::string& account,
+                       time_point asked,
+                       limit_home& home,
+                       const ownership& owners,
+                       time_point now,
+                       outbox& out);
+
+    /// Takes a grant: per account only the answer to the newest request that
+    /// named it, once, and only within the lease.
+    void receive(const token_grant& grant, time_point now);
+
+    /// Sends due requests: retransmissions, prefetches and renewals.
+    outbox tick(const ownership& owners, time_point now);
+
+    /// Accounts with state: recently used or holding tokens.
+    std::size_t active_accounts() const;
+
+private:
+    struct held_account
+    {
+        double tokens = 0.0;
+        time_point expires{};
+        double own_tokens = 0.0; ///< of the own fraction
+        time_point own_updated{};
+        double demand = 0.0; ///< estimated requests per second
+        time_point demand_at{};
+        nonce asked_nonce = 0; ///< 0: no request is in flight
+        time_point asked_at{};
+        unsigned attempts = 0;
+        time_point answered{};          ///< send time of the newest answered
+        std::deque<time_point> waiting; ///< when each waiting request gives up
+    };
+
+    struct sent_request
+    {
+        time_point sent{};
+        std::vector<std::string> accounts;
+    };
+
+    struct home_state
+    {
+        time_point last_sent{};
+        std::vector<std::string> urgent; ///< accounts with waiting requests
+    };
+
+    static void note_arrival(held_account& state, time_point now);
+    static double demand(const held_account& state, time_point now);
+    static void drop_expired(held_account& state, time_point now);
+    bool spend_own(held_account& state,
+                   const account_limit& limit,
+                   bucket_id bucket,
+                   const ownership& owners,
+                   time_point now);
+    double target(const held_account& state,
+                  const account_limit& limit,
+                  time_point now) const;
+    bool wants_tokens(const held_account& state,
+                      const account_limit& limit,
+                      time_point now) const;
+    void add_want(token_request& request,
+                  const std::string& account,
+                  time_point now);
+    void send_urgent(const std::string& home, time_point now, outbox& out);
+    void send(const std::string& home,
+              token_request request,
+              time_point now,
+              outbox& out);
+    outbox sweep(const ownership& owners, time_point now);
+
+    std::string self;
+    nonce last_nonce;
+    std::shared_ptr<const account_limits> limits =
+        std::make_shared<account_limits>();
+    std::unordered_map<std::string, held_account> accounts;
+    std::map<nonce, sent_request> in_flight;
+    std::map<std::string, home_state> homes;
+    time_point next_sweep{};
 };
 
 } // namespace medlarbarrow::core
