Implement the limits of home and entry side

The home keeps a token bucket per active account and counts held and granted tokens as outstanding; it fills only for time during which each delegation was held without a break, so ownership reports when each one started. No tests yet.

--- a/medlarbarrow/core/limits.hpp
+++ b/medlarbarrow/core/limits.hpp
@@ -73,7 +73,6 @@
     {
         double level = 0.0;
         time_point updated{};
-        account_limit limit;
         double outstanding = 0.0; ///< sum over the holders
         double unmet = 0.0;       ///< sum over the holders, at least
         time_point next_expiry{}; ///< no holder ends before
@@ -93,15 +92,25 @@
     token_bucket* refresh(const std::string& account,
                           const ownership& owners,
                           time_point now);
+    static void advance(token_bucket& bucket,
+                        const account_limit& unit,
+                        const std::vector<time_point>& held,
+                        time_point now);
     static void expire_holders(token_bucket& bucket, time_point now);
-    static double
-    fair_amount(const token_bucket& bucket, const holder& asker, double wanted);
+    static double fair_amount(const token_bucket& bucket,
+                              const holder& asker,
+                              double wanted,
+                              time_point now);
+    static double withdraw(token_bucket& bucket,
+                           holder& asker,
+                           double wanted,
+                           time_point now);
     static std::optional<double> grant(token_bucket& bucket,
                                        double capacity,
-                                       holder& asker,
+                                       const instance_id& from,
                                        const token_want& want,
-                                       const lease_times& times,
-                                       time_point now);
+                                       time_point now,
+                                       duration hold);
 
     std::shared_ptr<const account_limits> limits =
         std::make_shared<account_limits>();
@@ -161,14 +170,17 @@
         double tokens = 0.0;
         time_point expires{};
         double own_tokens = 0.0; ///< of the own fraction
-        time_point own_updated{};
+        time_point own_updated = time_point::min();
         double demand = 0.0; ///< estimated requests per second
         time_point demand_at{};
         nonce asked_nonce = 0; ///< 0: no request is in flight
+        double asked_amount = 0.0;
         time_point asked_at{};
         unsigned attempts = 0;
-        time_point answered{};          ///< send time of the newest answered
-        std::deque<time_point> waiting; ///< when each waiting request gives up
+        /// Send time of the newest request that was not met in full.
+        time_point short_answer = time_point::min();
+        std::deque<time_point> waiting; ///< when each waiting request ends
+        bool urgent = false;            ///< listed in `urgent`
     };
 
     struct sent_request
@@ -177,43 +189,54 @@
         std::vector<std::string> accounts;
     };
 
-    struct home_state
-    {
-        time_point last_sent{};
-        std::vector<std::string> urgent; ///< accounts with waiting requests
-    };
+    /// Requests being put together, by home.
+    using request_batch = std::map<std::string, token_request>;
 
     static void note_arrival(held_account& state, time_point now);
+    static void leave_queue(held_account& state, bool first);
     static double demand(const held_account& state, time_point now);
     static void drop_expired(held_account& state, time_point now);
-    bool spend_own(held_account& state,
-                   const account_limit& limit,
-                   bucket_id bucket,
-                   const ownership& owners,
-                   time_point now);
-    double target(const held_account& state,
-                  const account_limit& limit,
-                  time_point now) const;
-    bool wants_tokens(const held_account& state,
-                      const account_limit& limit,
-                      time_point now) const;
-    void add_want(token_request& request,
-                  const std::string& account,
-                  time_point now);
-    void send_urgent(const std::string& home, time_point now, outbox& out);
-    void send(const std::string& home,
-              token_request request,
-              time_point now,
-              outbox& out);
-    outbox sweep(const ownership& owners, time_point now);
+    static void
+    end_request(held_account& state, double amount, time_point sent);
+    static double refill_own(held_account& state,
+                             const account_limit& limit,
+                             bucket_id bucket,
+                             const ownership& owners,
+                             time_point now);
+    static bool spend_own(held_account& state,
+                          const account_limit& limit,
+                          bucket_id bucket,
+                          const ownership& owners,
+                          time_point now);
+    static bool is_idle(held_account& state,
+                        const account_limit& limit,
+                        bucket_id bucket,
+                        const ownership& owners,
+                        time_point now);
+    static double target(const held_account& state,
+                         const account_limit& limit,
+                         time_point now);
+    static bool wants_tokens(const held_account& state,
+                             const account_limit& limit,
+                             time_point now);
+    static void add_want(token_request& request,
+                         const std::string& account,
+                         held_account& state,
+                         const account_limit& limit,
+                         time_point now);
+    token_request& request_to(request_batch& requests, const std::string& home);
+    void send(request_batch requests, time_point now, outbox& out);
+    void send_urgent(const ownership& owners, time_point now, outbox& out);
+    void sweep(const ownership& owners, time_point now, outbox& out);
 
     std::string self;
     nonce last_nonce;
     std::shared_ptr<const account_limits> limits =
         std::make_shared<account_limits>();
     std::unordered_map<std::string, held_account> accounts;
+    std::vector<std::string> urgent; ///< accounts with waiting requests
     std::map<nonce, sent_request> in_flight;
-    std::map<std::string, home_state> homes;
+    std::map<std::string, time_point> next_urgent; ///< by home
     time_point next_sweep{};
 };
 
--- a/medlarbarrow/core/ownership.cpp
+++ b/medlarbarrow/core/ownership.cpp
@@ -236,10 +236,16 @@
         this->delegate_to(this->self, this->own_buckets(), now);
     for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
     {
-        if (contains(delegated, bucket))
+        if (!contains(delegated, bucket))
         {
-            this->own_until[bucket] = now + this->lease_periods.lease;
+            continue;
+        }
+        if (now >= this->own_until[bucket])
+        {
+            this->own_held_since[bucket] = now;
+            ++this->changes;
         }
+        this->own_until[bucket] = now + this->lease_periods.lease;
     }
 }
 
@@ -297,6 +303,15 @@
     }
     peer_state& peer = found->second;
     const bucket_set affected = peer.held | answer.buckets;
+    const bucket_set unbroken = now < peer.held_until ? peer.held : 0;
+    for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
+    {
+        if (contains(answer.buckets & ~unbroken, bucket))
+        {
+            peer.held_since[bucket] = now;
+        }
+    }
+    this->changes += unbroken == answer.buckets ? 0 : 1;
     peer.incarnation = from.incarnation;
     peer.held = answer.buckets;
     // The lease counts from the solicitation, which precedes the answer, so
@@ -338,6 +353,7 @@
         peer.held = 0;
     }
     this->own_until.fill(time_point{});
+    ++this->changes;
     this->update_majorities(~bucket_set{0}, now);
     return out;
 }
@@ -462,6 +478,46 @@
     return 1.0 / this->instance_limit;
 }
 
+time_point ownership::own_since(bucket_id bucket) const
+{
+    return std::max(this->given[bucket].ends,
+                    this->started + this->lease_periods.delegator_hold());
+}
+
+ownership::held_starts ownership::starts_of(bucket_id bucket,
+                                            time_point now) const
+{
+    held_starts found;
+    found.valid_until = time_point::max();
+    for (const auto& [name, peer] : this->peers)
+    {
+        if (contains(peer.held, bucket) && now < peer.held_until)
+        {
+            found.starts.push_back(peer.held_since[bucket]);
+            found.valid_until = std::min(found.valid_until, peer.held_until);
+        }
+    }
+    if (now < this->own_until[bucket])
+    {
+        found.starts.push_back(this->own_held_since[bucket]);
+        found.valid_until =
+            std::min(found.valid_until, this->own_until[bucket]);
+    }
+    std::sort(found.starts.begin(), found.starts.end());
+    // More delegations than N prove that N is wrong; only N of them count.
+    if (found.starts.size() > this->instance_limit)
+    {
+        found.starts.erase(found.starts.begin(),
+                           found.starts.end() - this->instance_limit);
+    }
+    return found;
+}
+
+std::uint64_t ownership::revision() const
+{
+    return this->changes;
+}
+
 std::uint32_t ownership::max_instances() const
 {
     return this->instance_limit;
--- a/medlarbarrow/core/ownership.hpp
+++ b/medlarbarrow/core/ownership.hpp
@@ -96,6 +96,23 @@
     /// delegates the bucket to nobody, else 0.
     double own_fraction(bucket_id bucket, time_point now) const;
 
+    /// Time since which own_fraction has been above 0 without a break.
+    /// Meaningful only while it is.
+    time_point own_since(bucket_id bucket) const;
+
+    /// Delegations of a bucket that are counted now: since when each has been
+    /// counted without a break, earliest first, and until when all of them
+    /// stand.
+    struct held_starts
+    {
+        std::vector<time_point> starts;
+        time_point valid_until{};
+    };
+    held_starts starts_of(bucket_id bucket, time_point now) const;
+
+    /// Changes whenever a delegation starts or is lost other than by its end.
+    std::uint64_t revision() const;
+
     std::uint32_t max_instances() const;
     const lease_times& times() const;
     std::size_t member_count() const;
@@ -117,6 +134,7 @@
         std::uint64_t incarnation = 0;
         bucket_set held = 0;
         time_point held_until{};
+        std::array<time_point, bucket_count> held_since{};
     };
 
     /// Majority of a bucket, as far as the delegations at hand prove it.
@@ -150,6 +168,8 @@
     std::array<time_point, bucket_count> candidate_since{};
     std::array<given_delegation, bucket_count> given;
     std::array<time_point, bucket_count> own_until{};
+    std::array<time_point, bucket_count> own_held_since{};
+    std::uint64_t changes = 1;
     std::array<majority, bucket_count> majorities;
     std::map<std::string, peer_state> peers;
     nonce last_nonce = 0;
