Implement the home side of orders with handover and adoption

A handover alone does not tell its receiver that no third home decided in between: a bound on the elapsed time does not hold, because delegations that the third home had collected earlier may end soon after its decision. So delegators now report which home gave their delegation back just before the receiver (delegation_origin), and the receiver adopts only with more than N/2 such delegations. A delegator ignores overtaken solicitations, which would forge that evidence after a third home. order_result names its claim, so that a repeated not_sent cannot free a later run. No tests yet.

--- a/medlarbarrow/core/messages.hpp
+++ b/medlarbarrow/core/messages.hpp
@@ -23,18 +23,29 @@
     bucket_set buckets = 0;
 };
 
+/// Buckets whose delegation `previous` gave back and that the delegator has
+/// delegated to nobody between it and the receiver.
+struct delegation_origin
+{
+    instance_id previous;
+    bucket_set buckets = 0;
+};
+
 /// The peer delegates these buckets, from its answer on, for `lease`.
 struct delegation
 {
     core::nonce nonce = 0;
     bucket_set buckets = 0;
     duration lease{};
+    std::vector<delegation_origin> origins;
 };
 
-/// The home gives the delegations of these buckets back.
+/// The home gives the delegations of these buckets back. `answered` is the
+/// solicitation whose answer it counted last.
 struct delegation_release
 {
     bucket_set buckets = 0;
+    core::nonce answered = 0;
 };
 
 // --- limits -----------------------------------------------------------------
@@ -115,6 +126,9 @@
     digest identity;
     order_outcome outcome = order_outcome::unknown;
     std::optional<stored_answer> answer;
+    /// Nonce of the claim that got `run`. Without it a repeated not_sent of an
+    /// earlier run would free a later run of the same instance.
+    core::nonce claim = 0;
 };
 
 /// One record of a home that hands its bucket over.
@@ -124,10 +138,13 @@
     wall_time created{};
     bool pending = true;
     std::optional<stored_answer> answer;
+    instance_id claimant;
+    core::nonce claim = 0;
+    std::chrono::milliseconds remaining{}; ///< of the claim's deadline
 };
 
 /// Records of a bucket for the next home, sent before the release. The
-/// receiver adopts the knowledge only when `last` has arrived.
+/// receiver adopts the knowledge only when all parts have arrived.
 struct order_handover
 {
     bucket_id bucket = 0;
--- a/medlarbarrow/core/orders.hpp
+++ b/medlarbarrow/core/orders.hpp
@@ -3,11 +3,15 @@
 #pragma once
 
 #include <array>
-#include <deque>
 #include <medlarbarrow/core/messages.hpp>
 #include <medlarbarrow/core/model.hpp>
 #include <medlarbarrow/core/ownership.hpp>
+#include <medlarbarrow/core/result_codes.hpp>
+#include <optional>
+#include <set>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace medlarbarrow::core
 {
@@ -19,11 +23,16 @@
 /// beyond it is answered in_progress so that memory stays bounded.
 constexpr std::size_t order_record_limit = 200'000;
 
+/// Greatest sum of the answers a home keeps. Beyond it an order that has been
+/// answered is remembered without its answer: a repeat gets `unknown`.
+constexpr std::size_t stored_bytes_limit = 32U * 1024U * 1024U;
+
 /// Creation time of a UUID version 7 in its usual text form.
 /// Errors: order_key_missing (empty), order_key_invalid.
 result<wall_time> creation_time(std::string_view idempotency_key);
 
-/// Identity of an order: digest of account, service and key.
+/// Identity of an order: digest of account, service and key. The case of the
+/// key's letters does not matter, as in any UUID.
 digest order_identity(std::string_view account,
                       std::string_view service,
                       std::string_view idempotency_key);
@@ -42,33 +51,42 @@
                         const ownership& owners,
                         instant now);
 
-    /// Stores the outcome of a run that `from` had claimed.
-    void finish(const instance_id& from,
-                const order_result& outcome,
-                const ownership& owners,
-                instant now);
+    /// Stores the outcome of a run that `from` had claimed. The first outcome
+    /// stands; one for another claim is ignored.
+    void finish(const instance_id& from, const order_result& outcome);
 
-    /// Copies of all records of a bucket, in parts, for the next home.
+    /// Copies of all records of a bucket, in parts, for the next home; none
+    /// without a majority. This home decides no claim of the bucket afterwards,
+    /// so the caller must release its delegations next.
     std::vector<order_handover>
-    hand_over(bucket_id bucket, const ownership& owners, instant now) const;
+    hand_over(bucket_id bucket, const ownership& owners, instant now);
 
-    /// Adopts a handover when all its parts have arrived.
+    /// Takes the records of a handover, and its knowledge when all parts have
+    /// arrived and this home succeeds its sender (ownership::succeeds).
     void
     adopt(const instance_id& from, const order_handover& part, instant now);
 
-    /// Forgets records past the memory window and buckets without majority.
+    /// Notices new majorities and forgets records past the memory window. Call
+    /// it often: the knowledge of a bucket starts when its majority is noticed.
     void tick(const ownership& owners, instant now);
 
     std::size_t records() const;
 
 private:
+    enum class record_state
+    {
+        pending,
+        finished,
+        released ///< not sent: the next claim may run
+    };
+
     struct record
     {
         instance_id claimant;
         nonce claim_nonce = 0;
         wall_time created{};
         time_point claim_ends{};
-        bool pending = true;
+        record_state state = record_state::pending;
         std::optional<stored_answer> answer;
     };
 
@@ -80,29 +98,46 @@
         }
     };
 
-    struct incoming_handover
+    struct handover
     {
         instance_id from;
         wall_time knowledge_start{};
-        std::uint32_t next_part = 0;
-        std::vector<order_record_copy> records;
+        std::set<std::uint32_t> parts;
+        std::optional<std::uint32_t> last_part;
     };
 
+    using record_map = std::unordered_map<digest, record, digest_hash>;
+
     struct bucket_state
     {
-        std::unordered_map<digest, record, digest_hash> records;
+        record_map records;
         std::optional<time_point> majority_since;
         wall_time knowledge_start{};
-        std::optional<incoming_handover> incoming;
-        std::optional<incoming_handover> adopted;
+        std::vector<handover> received; ///< not yet adopted
+        bool handed_over = false;
     };
 
-    /// Starts or ends the knowledge of a bucket with its majority.
     bucket_state*
     update_knowledge(bucket_id bucket, const ownership& owners, instant now);
+    static void extend_knowledge(bucket_state& state,
+                                 bucket_id bucket,
+                                 const ownership& owners,
+                                 time_point now);
+    bool take_record(bucket_state& bucket,
+                     const order_record_copy& copy,
+                     instant now);
+    order_verdict_kind
+    judge_repeat(const record& known, bool same_claim, instant now) const;
+    order_verdict_kind
+    judge_new(const bucket_state& bucket, wall_time created, instant now) const;
+    void store_answer(record& known,
+                      const std::optional<stored_answer>& answer);
+    void forget_old(bucket_state& bucket, instant now);
 
     std::array<bucket_state, bucket_count> buckets;
+    bucket_id next_sweep = 0;
     std::size_t record_count = 0;
+    std::size_t stored_bytes = 0;
     std::chrono::milliseconds clock_skew{2000};
     std::chrono::milliseconds window{600000};
 };
--- a/medlarbarrow/core/ownership.cpp
+++ b/medlarbarrow/core/ownership.cpp
@@ -21,6 +21,10 @@
 /// Clock rates of two instances differ by less than one part in this many.
 constexpr int drift_divisor = 100;
 
+/// The newest solicitation of an instance that left the list is remembered this
+/// long, far beyond the delay of any message.
+constexpr duration request_memory = std::chrono::minutes(10);
+
 /// Nonces of a later run are greater than all nonces of an earlier one, so
 /// that a late answer to the earlier run matches nothing.
 constexpr unsigned incarnation_shift = 20;
@@ -101,6 +105,12 @@
                   {
                       return !listed(name);
                   });
+    std::erase_if(this->newest_requests,
+                  [&](const auto& item)
+                  {
+                      return !listed(item.first) &&
+                             now - item.second.at > request_memory;
+                  });
     this->choose_candidates(now);
 }
 
@@ -209,6 +219,7 @@
 // this run of `home`, and whose candidate is `home`.
 bucket_set ownership::delegate_to(const instance_id& home,
                                   bucket_set wanted,
+                                  nonce solicitation,
                                   time_point now)
 {
     bucket_set delegated = 0;
@@ -223,7 +234,18 @@
         if (contains(wanted, bucket) && free &&
             this->candidates[bucket] == home.name)
         {
-            current = {home, now + this->lease_periods.delegator_hold()};
+            if (current.to != home)
+            {
+                current.previous =
+                    current.released ? current.to : instance_id{};
+            }
+            if (current.to != home || now >= current.ends)
+            {
+                current.first = solicitation;
+            }
+            current.to = home;
+            current.ends = now + this->lease_periods.delegator_hold();
+            current.released = false;
             delegated |= single(bucket);
         }
     }
@@ -233,7 +255,7 @@
 void ownership::delegate_to_self(time_point now)
 {
     const bucket_set delegated =
-        this->delegate_to(this->self, this->own_buckets(), now);
+        this->delegate_to(this->self, this->own_buckets(), 0, now);
     for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
     {
         if (!contains(delegated, bucket))
@@ -281,14 +303,35 @@
                           const delegation_request& request,
                           time_point now)
 {
-    const bucket_set delegated = this->delegate_to(from, request.buckets, now);
+    // A solicitation that was overtaken by a newer one is stale: answering it
+    // would tie the buckets to a home that may be gone.
+    seen_request& newest = this->newest_requests[from.name];
+    if (request.nonce <= newest.solicitation)
+    {
+        return {};
+    }
+    newest = {request.nonce, now};
+    const bucket_set delegated =
+        this->delegate_to(from, request.buckets, request.nonce, now);
     if (delegated == 0)
     {
         return {};
     }
-    const delegation answer{request.nonce, delegated,
-                            this->lease_periods.lease};
-    return {{from.name, answer}};
+    delegation answer{request.nonce, delegated, this->lease_periods.lease, {}};
+    std::map<instance_id, bucket_set> previous;
+    for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
+    {
+        const instance_id& home = this->given[bucket].previous;
+        if (contains(delegated, bucket) && !home.name.empty())
+        {
+            previous[home] |= single(bucket);
+        }
+    }
+    for (const auto& [home, buckets] : previous)
+    {
+        answer.origins.push_back({home, buckets});
+    }
+    return {{from.name, std::move(answer)}};
 }
 
 void ownership::receive(const instance_id& from,
@@ -314,6 +357,8 @@
     this->changes += unbroken == answer.buckets ? 0 : 1;
     peer.incarnation = from.incarnation;
     peer.held = answer.buckets;
+    peer.origins = answer.origins;
+    peer.answered = answer.nonce;
     // The lease counts from the solicitation, which precedes the answer, so
     // that this home stops before the delegator does.
     peer.held_until = peer.solicited_at + answer.lease;
@@ -329,6 +374,10 @@
         given_delegation& current = this->given[bucket];
         if (contains(release.buckets, bucket) && current.to == from)
         {
+            // Without a break since the answer that the home counted last.
+            current.released =
+                current.released ||
+                (now < current.ends && current.first <= release.answered);
             current.ends =
                 std::min(current.ends, now + this->lease_periods.grant_lease);
         }
@@ -348,7 +397,7 @@
     {
         if (peer.held != 0 && peer.held_until > now)
         {
-            out.push_back({name, delegation_release{peer.held}});
+            out.push_back({name, delegation_release{peer.held, peer.answered}});
         }
         peer.held = 0;
     }
@@ -406,6 +455,31 @@
     return static_cast<double>(held) / this->instance_limit;
 }
 
+// Those delegators served nobody between `previous` and this home. They are
+// more than N/2, so no other home can have had a majority in between.
+bool ownership::succeeds(bucket_id bucket,
+                         const instance_id& previous,
+                         time_point now) const
+{
+    std::uint32_t direct = 0;
+    for (const auto& [name, peer] : this->peers)
+    {
+        const bool counted =
+            contains(peer.held, bucket) && now < peer.held_until;
+        for (const delegation_origin& origin : peer.origins)
+        {
+            const bool same =
+                origin.previous == previous && contains(origin.buckets, bucket);
+            direct += counted && same ? 1 : 0;
+        }
+    }
+    const given_delegation& own = this->given[bucket];
+    const bool own_direct =
+        now < this->own_until[bucket] && own.previous == previous;
+    direct += own_direct ? 1 : 0;
+    return direct >= this->majority_size();
+}
+
 std::uint32_t ownership::majority_size() const
 {
     return this->instance_limit / 2 + 1;
--- a/medlarbarrow/core/ownership.hpp
+++ b/medlarbarrow/core/ownership.hpp
@@ -92,6 +92,13 @@
     std::optional<time_point> majority_since(bucket_id bucket,
                                              time_point now) const;
 
+    /// True when more than N/2 of the delegations counted here came directly
+    /// from `previous`, which gave them back: then no third home has decided
+    /// anything in between, and what `previous` knew is complete.
+    bool succeeds(bucket_id bucket,
+                  const instance_id& previous,
+                  time_point now) const;
+
     /// Fraction this instance may spend without a home: 1/N while it
     /// delegates the bucket to nobody, else 0.
     double own_fraction(bucket_id bucket, time_point now) const;
@@ -123,20 +130,32 @@
     {
         instance_id to;
         time_point ends{};
+        nonce first = 0;       ///< solicitation that began it unbroken
+        bool released = false; ///< `to` has given it back before its end
+        instance_id previous;  ///< home that gave it back just before `to`
     };
 
     /// A peer as the home sees it.
     struct peer_state
     {
         nonce solicitation = 0;
+        nonce answered = 0; ///< solicitation that `held` answers
         time_point solicited_at{};
         time_point next_solicitation{};
         std::uint64_t incarnation = 0;
         bucket_set held = 0;
+        std::vector<delegation_origin> origins;
         time_point held_until{};
         std::array<time_point, bucket_count> held_since{};
     };
 
+    /// Newest solicitation of an instance.
+    struct seen_request
+    {
+        nonce solicitation = 0;
+        time_point at{};
+    };
+
     /// Majority of a bucket, as far as the delegations at hand prove it.
     struct majority
     {
@@ -146,8 +165,10 @@
 
     bool is_eligible(const std::string& name) const;
     bool may_delegate(time_point now) const;
-    bucket_set
-    delegate_to(const instance_id& home, bucket_set wanted, time_point now);
+    bucket_set delegate_to(const instance_id& home,
+                           bucket_set wanted,
+                           nonce solicitation,
+                           time_point now);
     void delegate_to_self(time_point now);
     void suspect_silent_candidates(time_point now);
     void choose_candidates(time_point now);
@@ -172,6 +193,7 @@
     std::uint64_t changes = 1;
     std::array<majority, bucket_count> majorities;
     std::map<std::string, peer_state> peers;
+    std::map<std::string, seen_request> newest_requests;
     nonce last_nonce = 0;
     time_point last_tick{};
     bool released = false;
