Choose servers by two random choices with near-first overflow

Cause: an instance needs a server that is idle, near and well without asking its peers. Change: server_table chooses by in-flight requests, latency and errors, keeps subsets by rendezvous hash, and starts returning servers slowly.

The property never_chooses_a_server_that_is_out was seen to fail on a variant whose may_use() ignored the operator's orders, and on one that ended blocks one second early.

--- a/medlarbarrow/core/routing.hpp
+++ b/medlarbarrow/core/routing.hpp
@@ -21,6 +21,13 @@
 /// Time over which a readmitted or restarted server returns to full weight.
 constexpr duration slow_start_period = std::chrono::seconds(10);
 
+/// Servers of a service that may be out of service in all: the floor is
+/// rounded up to whole servers.
+std::size_t most_out(std::size_t servers, double floor);
+
+/// True unless an operator has ordered the server out of service.
+bool takes_new_work(server_order order);
+
 /// A server that an instance must not use directly, from a service_verdict.
 struct server_block
 {
@@ -133,27 +140,49 @@
 
     service_entry* find(const std::string& service);
     const service_entry* find(const std::string& service) const;
-    const server_block* block_of(const service_entry& in,
-                                 const std::string& server,
-                                 time_point now) const;
-    bool may_use(const service_entry& in,
-                 const server_entry& entry,
-                 time_point now) const;
+    server_entry* find_server(const std::string& service,
+                              const std::string& server);
+    server_entry carry_over(const service_entry* old,
+                            service_entry& fresh,
+                            const backend_server& server,
+                            time_point now) const;
+    static void restart(server_entry& entry, time_point now);
+    static void
+    restart_named(service_entry& in, const std::string& server, time_point now);
+    static void end_expired_blocks(service_entry& in, time_point now);
+    void keep_floor(service_entry& in) const;
+    void learn(service_entry& in,
+               server_entry& entry,
+               work_outcome outcome,
+               duration latency,
+               time_point now);
+    static const server_block* block_of(const service_entry& in,
+                                        const std::string& server,
+                                        time_point now);
+    static bool
+    may_use(const service_entry& in, const server_entry& entry, time_point now);
+    static const char* state_name(const service_entry& in,
+                                  const server_entry& entry,
+                                  time_point now);
     std::size_t subset_size(const service_entry& in) const;
     std::vector<const server_entry*>
     candidates(const service_entry& in,
                const std::vector<std::string>& excluded,
                time_point now) const;
-    double cost(const service_entry& in,
-                const server_entry& entry,
-                time_point now) const;
-    const server_entry*
+    static double current_latency(const service_entry& in,
+                                  const server_entry& entry,
+                                  time_point now);
+    static double
+    cost(const service_entry& in, const server_entry& entry, time_point now);
+    static const server_entry*
+    draw(const std::vector<const server_entry*>& group,
+         std::mt19937_64& random,
+         time_point now);
+    static const server_entry*
     better_of_two(const service_entry& in,
                   const std::vector<const server_entry*>& group,
                   std::mt19937_64& random,
-                  time_point now) const;
-    void end_expired_blocks(service_entry& in, time_point now);
-    void keep_floor(service_entry& in) const;
+                  time_point now);
 
     std::string instance;
     std::string data_centre;
