Detect failing servers at the service's home and keep the floor

Cause: an instance alone can't tell a bad server from its own cut path. Change: observation_log counts real work; detector pools the reports, runs sequential tests against the service's typical server and tells apart bad servers, cut paths, cut reporters and a slow service. Leases handed out count towards the floor until they end.

--- a/medlarbarrow/core/detection.hpp
+++ b/medlarbarrow/core/detection.hpp
@@ -8,6 +8,7 @@
 #include <medlarbarrow/core/model.hpp>
 #include <medlarbarrow/core/routing.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -148,11 +149,18 @@
         double succeeded = 0.0;
         double failed = 0.0;
         double latency_sum = 0.0; ///< seconds, of the successes
+        double streak = 0.0; ///< failures since the last report with a success
         time_point updated{};
+        time_point last_success{};
+
+        void add(const server_observation& seen, time_point now);
 
         void decay_to(time_point now);
         double total() const;
         double failed_fraction() const;
+        bool is_enough() const;  ///< for a statement about the server
+        bool only_fails() const; ///< hardly any success
+        bool fails() const;      ///< at least half of enough attempts
     };
 
     struct server_record
@@ -164,12 +172,13 @@
         duration hold{}; ///< of the newest ejection
         time_point released_at{};
         time_point leased_until{}; ///< end of the last lease handed out
-        std::string last_kept_reason;
+        time_point kept_logged_until{};
     };
 
     struct cut
     {
         time_point until{};
+        duration hold{};
         std::string via;
     };
 
@@ -177,9 +186,12 @@
     {
         std::map<std::string, evidence> servers;
         std::map<std::string, cut> cuts;
+        std::size_t seen_servers = 0; ///< at the last tick
+        std::size_t failing_servers = 0;
+        double only_failures = 0.0; ///< on servers that only fail for it
         time_point heard{};
         time_point cut_until{};
-        nonce newest = 0;
+        core::nonce newest = 0;
     };
 
     /// Evidence of all reporters that count, about one server.
@@ -187,10 +199,15 @@
     {
         double succeeded = 0.0;
         double failed = 0.0;
+        double all_failed = 0.0; ///< also of reporters that are not credible
         double latency_sum = 0.0;
+        time_point last_success{};
         std::size_t reporters = 0;
         std::size_t failing_reporters = 0;
-        std::size_t slow_reporters = 0;
+
+        double failed_fraction() const;
+        double all_failed_fraction() const;
+        bool is_well() const;
     };
 
     struct suspect
@@ -200,24 +217,78 @@
         std::string reason;
     };
 
-    bool is_out_by_order(const server_record& record) const;
+    using events = std::vector<detection_event>;
+
+    void add(events& out,
+             detection_event_kind kind,
+             const std::string& server,
+             const std::string& reporter,
+             std::string reason) const;
+    service_verdict
+    answer(const reporter_record& to, core::nonce answered, time_point now);
     double evidence_threshold() const;
-    pooled pool(const std::string& server, const std::string& without) const;
+    static bool is_cut(const reporter_record& from,
+                       const std::string& server,
+                       time_point now);
+    static bool others_are_well(const reporter_record& from,
+                                const evidence& about);
+    static void count(pooled& sum,
+                      const reporter_record& from,
+                      const std::string& server,
+                      time_point now);
+    pooled pool(const std::string& server,
+                bool without_cut_like,
+                time_point now) const;
+    static bool is_cut_like(const reporter_record& from,
+                            const std::string& server);
+    std::set<std::string> find_well_servers(time_point now) const;
+    std::size_t slow_reporters(const std::string& server,
+                               double typical_latency,
+                               time_point now) const;
+    std::string best_reporter(const std::string& server, time_point now) const;
     void forget_evidence(const std::string& server);
-    void find_reporter_cuts(time_point now, std::vector<detection_event>& out);
-    void find_path_cuts(time_point now, std::vector<detection_event>& out);
-    double median_latency() const;
-    std::vector<suspect> find_suspects(time_point now,
-                                       std::vector<detection_event>& out);
-    void end_holds(time_point now, std::vector<detection_event>& out);
-    void keep_floor(time_point now, std::vector<detection_event>& out);
-    void eject(const suspect& bad,
-               time_point now,
-               std::vector<detection_event>& out);
-    void place(const suspect& bad,
-               time_point now,
-               std::vector<detection_event>& out);
+    void age_evidence(time_point now);
+    void find_reporter_cuts(const std::set<std::string>& well,
+                            time_point now,
+                            events& out);
+    void find_path_cuts(const std::set<std::string>& well,
+                        time_point now,
+                        events& out);
+    void cut_path(const std::string& reporter,
+                  reporter_record& from,
+                  const std::string& server,
+                  time_point now,
+                  events& out);
+    std::vector<suspect> find_suspects(const std::set<std::string>& well,
+                                       time_point now,
+                                       events& out);
+    void note_service_slow(std::string reason, time_point now, events& out);
+    struct typical_server
+    {
+        double failures = 0.0; ///< fraction
+        double latency = 0.0;  ///< seconds; 0: not comparable
+    };
+
+    static typical_server
+    find_typical(const std::map<std::string, pooled>& seen, time_point now);
+    std::optional<suspect> judge(const std::string& server,
+                                 const pooled& seen,
+                                 const typical_server& typical,
+                                 time_point now) const;
+    std::optional<suspect> judge_latency(const std::string& server,
+                                         const pooled& seen,
+                                         double typical_latency,
+                                         time_point now) const;
+    void end_holds(time_point now, events& out);
+    void
+    release(server_record& record, const std::string& server, time_point now);
+    void keep_floor(time_point now, events& out);
+    void eject(const suspect& bad, time_point now, events& out);
+    void place(const suspect& bad, time_point now, events& out);
     std::string least_bad_ejected() const;
+    std::size_t ordered_out() const;
+    std::size_t ejected_count() const;
+    std::string floor_text(time_point now) const;
 
     std::string name;
     time_point ejects_from{};
