--- a/medlarbarrow/net/codec.cpp
+++ b/medlarbarrow/net/codec.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t max_text_bytes = 1'000'000; // a configuration value
 constexpr std::size_t max_answer_bytes = 16'384;  // docs/design.md, 2.4
 constexpr std::size_t max_list_items = 4096;
-constexpr std::uint32_t max_parts = 4096;
+constexpr std::uint32_t max_parts = 16'384;
 constexpr double max_amount = 1e12;
 constexpr std::chrono::hours max_period{24 * 7};
 constexpr std::chrono::hours max_wall_time{24 * 366 * 200}; // since 1970
