--- a/medlarbarrow/net/codec.cpp
+++ b/medlarbarrow/net/codec.cpp
@@ -509,18 +509,34 @@
     archive.number(value.buckets);
 }
 
+template <class Archive>
+void fields(Archive& archive, core::instance_id& value)
+{
+    archive.name(value.name);
+    archive.number(value.incarnation);
+}
+
+template <class Archive>
+void fields(Archive& archive, core::delegation_origin& value)
+{
+    archive.object(value.previous);
+    archive.number(value.buckets);
+}
+
 template <class Archive>
 void fields(Archive& archive, core::delegation& value)
 {
     archive.number(value.nonce);
     archive.number(value.buckets);
     archive.period(value.lease);
+    archive.list(value.origins);
 }
 
 template <class Archive>
 void fields(Archive& archive, core::delegation_release& value)
 {
     archive.number(value.buckets);
+    archive.number(value.answered);
 }
 
 template <class Archive>
@@ -585,6 +601,7 @@
     archive.object(value.identity);
     archive.choice(value.outcome, core::order_outcome::unknown);
     archive.maybe(value.answer);
+    archive.number(value.claim);
 }
 
 template <class Archive>
@@ -594,6 +611,9 @@
     wall_time(archive, value.created);
     archive.flag(value.pending);
     archive.maybe(value.answer);
+    archive.object(value.claimant);
+    archive.number(value.claim);
+    archive.period(value.remaining);
 }
 
 template <class Archive>
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -20,16 +20,20 @@
     const core::wall_time created{1'760'000'000'000ms};
     return {
         core::delegation_request{~0ULL, ~0ULL},
-        core::delegation{3, 5, 6s},
-        core::delegation_release{9},
+        core::delegation{3, 5, 6s, {{{"entry-03", 7}, 4}}},
+        core::delegation_release{9, 11},
         core::token_request{4, {{"trawl-1", 0.5, 12.25}, {"reef", 0.0, 1e9}}},
         core::token_grant{4, 2s, {{"trawl-1", 3.75}}},
         core::order_claim{8, identity, created, 5000ms},
         core::order_verdict{8, identity, core::order_verdict_kind::answered,
                             answer},
-        core::order_result{identity, core::order_outcome::not_sent, {}},
+        core::order_result{identity, core::order_outcome::not_sent, {}, 8},
         core::order_handover{
-            63, 2, true, created, {{identity, created, false, answer}}},
+            63,
+            2,
+            true,
+            created,
+            {{identity, created, false, answer, {"entry-03", 7}, 8, 250ms}}},
         core::observation_report{1, "specbook", {{"s-1", 9, 1, 0, 1400us}}},
         core::service_verdict{
             1,
@@ -183,14 +187,19 @@
               result_code::peer_message_invalid);
     EXPECT_EQ(error_of(core::hello{"two words", 1, 1, false}),
               result_code::peer_message_invalid);
-    EXPECT_EQ(error_of(core::delegation{1, 1, std::chrono::hours(-1)}),
+    EXPECT_EQ(error_of(core::delegation{1, 1, std::chrono::hours(-1), {}}),
               result_code::peer_message_invalid);
     core::token_request many;
     many.wants.resize(5000, {"a", 1.0, 1.0});
     EXPECT_EQ(error_of(many), result_code::peer_message_invalid);
     core::order_handover bodies;
-    bodies.records.resize(100,
-                          {{}, {}, false, core::stored_answer{200, "", {}}});
+    bodies.records.resize(100, {{},
+                                {},
+                                false,
+                                core::stored_answer{200, "", {}},
+                                {"entry-03", 7},
+                                8,
+                                {}});
     for (auto& record : bodies.records)
     {
         record.answer->body.assign(16'384, 'x');
