Carry requests from callers to backend servers through the node

Callers are accepted with HTTP/1.1 keep-alive and optional TLS; attempts go over pooled connections to a server.

--- /dev/null
+++ b/medlarbarrow/net/entry.cpp
@@ -0,0 +1,813 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/net/caller.hpp>
+#include <medlarbarrow/net/entry.hpp>
+#include <medlarbarrow/net/log.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <unordered_map>
+
+namespace medlarbarrow::net
+{
+
+namespace
+{
+
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using core::result_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Body bytes that take part in the digest by which requests that crash
+/// servers are recognised. They are read before the first attempt, so that
+/// the digest does not depend on how the body arrived.
+constexpr std::size_t digest_bytes = 4096;
+
+/// Time to wait after accept() failed for lack of file descriptors.
+constexpr milliseconds accept_pause{100};
+
+constexpr seconds sweep_period{1};
+
+core::instant now()
+{
+    return {core::boot_clock::now(), std::chrono::time_point_cast<milliseconds>(
+                                         std::chrono::system_clock::now())};
+}
+
+std::string_view reason_of(unsigned status)
+{
+    return http::obsolete_reason(http::int_to_status(status));
+}
+
+std::string refusal_body(const core::step_refuse& refusal)
+{
+    const nlohmann::json body{
+        {"code", static_cast<int>(refusal.code)},
+        {"name", core::name_of(refusal.code)},
+        {"outcome", refusal.outcome_unknown ? "unknown" : "not-run"},
+        {"message", core::make_error_code(refusal.code).message()}};
+    return body.dump();
+}
+
+answer_head refusal_head(const core::step_refuse& refusal,
+                         unsigned status,
+                         std::size_t body_bytes)
+{
+    answer_head head;
+    head.status = status;
+    head.reason = reason_of(status);
+    head.lines = fmt::format("Medlar-Outcome: {}\r\nMedlar-Code: {}\r\n"
+                             "Content-Type: application/json\r\n",
+                             refusal.outcome_unknown ? "unknown" : "not-run",
+                             static_cast<int>(refusal.code));
+    if (refusal.retry_after > milliseconds(0))
+    {
+        // The header counts whole seconds; a shorter wait is rounded up.
+        head.lines += fmt::format(
+            "Retry-After: {}\r\n",
+            std::chrono::ceil<seconds>(refusal.retry_after).count());
+    }
+    if (status == 401)
+    {
+        head.lines += "WWW-Authenticate: Bearer\r\n";
+    }
+    head.length = body_bytes;
+    return head;
+}
+
+core::result<std::shared_ptr<asio::ssl::context>>
+make_tls(const std::optional<config::tls_files>& files)
+{
+    if (!files)
+    {
+        return std::shared_ptr<asio::ssl::context>();
+    }
+    using context = asio::ssl::context;
+    auto made = std::make_shared<context>(context::tls_server);
+    error_code failure;
+    made->set_options(context::default_workarounds | context::no_tlsv1 |
+                          context::no_tlsv1_1 | context::single_dh_use,
+                      failure);
+    if (!failure)
+    {
+        made->use_certificate_chain_file(files->certificate_file, failure);
+    }
+    if (!failure)
+    {
+        made->use_private_key_file(files->key_file, context::pem, failure);
+    }
+    if (failure)
+    {
+        log::write(log::level::error, "caller_tls_invalid",
+                   {log::kv("reason", failure.message())});
+        return core::make_error_code(result_code::settings_invalid);
+    }
+    return made;
+}
+
+} // namespace
+
+void latency_histogram::add(core::duration value)
+{
+    const auto bound =
+        std::lower_bound(latency_bounds.begin(), latency_bounds.end(), value);
+    ++this->buckets.at(
+        static_cast<std::size_t>(bound - latency_bounds.begin()));
+    ++this->count;
+    this->sum += value;
+}
+
+unsigned status_of(result_code code) noexcept
+{
+    switch (code)
+    {
+    case result_code::bad_request:
+    case result_code::order_key_missing:
+    case result_code::order_key_invalid:
+    case result_code::order_key_in_future:
+        return 400;
+    case result_code::key_missing:
+    case result_code::key_unknown:
+    case result_code::key_withdrawn:
+        return 401;
+    case result_code::account_not_allowed:
+    case result_code::request_blocked:
+        return 403;
+    case result_code::no_route:
+        return 404;
+    case result_code::caller_gone:
+        return 408;
+    case result_code::order_in_progress:
+        return 409;
+    case result_code::body_too_large:
+        return 413;
+    case result_code::rate_exceeded:
+        return 429;
+    case result_code::header_too_large:
+        return 431;
+    case result_code::server_connect_failed:
+    case result_code::server_closed_early:
+    case result_code::server_bad_answer:
+    case result_code::order_outcome_unknown:
+        return 502;
+    case result_code::server_timeout:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+/// Everything the sessions of one entry share.
+struct entry::state : std::enable_shared_from_this<entry::state>
+{
+    class session;
+
+    state(asio::io_context& context,
+          const config::settings& chosen,
+          core::node& decisions,
+          send_function to_peers)
+        : io(context), settings(chosen), node(decisions),
+          send(std::move(to_peers)), acceptor(context), sweep_timer(context),
+          room(context.get_executor()),
+          servers(context.get_executor(), chosen.bounds)
+    {
+    }
+
+    void flush(core::outbox& out);
+    asio::awaitable<void> accept_callers();
+    void open(tcp::socket&& socket);
+    bool evict_one();
+    void close_acceptor();
+    void ended(session& gone);
+    void sweep();
+    void check_drained();
+    std::uint64_t body_limit_of(const std::string& route) const;
+
+    asio::io_context& io;
+    config::settings settings;
+    core::node& node;
+    send_function send;
+    std::shared_ptr<asio::ssl::context> tls;
+    tcp::acceptor acceptor;
+    tcp::endpoint local;
+    asio::steady_timer sweep_timer;
+    signal room; ///< a connection has ended, or drain() was called
+    upstream servers;
+    entry_counters counts;
+    std::unordered_map<std::string, std::uint64_t> body_limits;
+    std::set<session*> sessions;
+    std::set<session*> waiting; ///< in step_wait
+    bool draining = false;
+    std::function<void()> drained;
+};
+
+/// One caller's connection and its requests, one after the other.
+class entry::state::session
+    : public std::enable_shared_from_this<entry::state::session>
+{
+public:
+    session(std::shared_ptr<state> shared, tcp::socket&& socket)
+        : owner(std::move(shared)),
+          caller(std::make_shared<caller_connection>(
+              caller_stream(std::move(socket), this->owner->tls.get()),
+              this->owner->settings.bounds))
+    {
+    }
+
+    static asio::awaitable<void> run(std::shared_ptr<session> self);
+
+    caller_connection& connection()
+    {
+        return *this->caller;
+    }
+
+private:
+    enum class progress
+    {
+        next_step,
+        ended
+    };
+
+    asio::awaitable<void> serve_all();
+    asio::awaitable<void> refuse_head(head_status why);
+    asio::awaitable<void> serve();
+    asio::awaitable<bool> prepare();
+    asio::awaitable<void> run_steps();
+    asio::awaitable<progress> follow(const core::step& step);
+    asio::awaitable<progress> wait(core::time_point until);
+    asio::awaitable<progress> attempt(const core::step_send& step);
+    asio::awaitable<void> replay(const core::stored_answer& answer);
+    asio::awaitable<void> refuse(const core::step_refuse& refusal);
+    asio::awaitable<void> refuse_body();
+    void finish_attempt(const core::attempt_result& result);
+    void forget();
+    void write_log();
+
+    std::shared_ptr<state> owner;
+    std::shared_ptr<caller_connection> caller;
+
+    // The request in progress.
+    checked_request request;
+    trace::context span;
+    trace::hop hop;
+    std::string account;
+    std::string route;
+    std::string server;
+    core::time_point began{};
+    std::optional<core::request_id> id; ///< known to the node
+    std::optional<core::attempt_result> previous;
+};
+
+void entry::state::flush(core::outbox& out)
+{
+    if (!out.empty())
+    {
+        this->send(std::move(out));
+    }
+    out.clear();
+}
+
+std::uint64_t entry::state::body_limit_of(const std::string& route) const
+{
+    const auto found = this->body_limits.find(route);
+    return found == this->body_limits.end()
+               ? std::numeric_limits<std::uint64_t>::max()
+               : found->second;
+}
+
+// Closes the connection that has been idle longest; false when none is idle.
+bool entry::state::evict_one()
+{
+    session* oldest = nullptr;
+    for (session* candidate : this->sessions)
+    {
+        const auto since = candidate->connection().idle_since();
+        if (since &&
+            (oldest == nullptr || *since < *oldest->connection().idle_since()))
+        {
+            oldest = candidate;
+        }
+    }
+    if (oldest != nullptr)
+    {
+        oldest->connection().evict();
+    }
+    return oldest != nullptr;
+}
+
+void entry::state::open(tcp::socket&& socket)
+{
+    ++this->counts.connections_accepted;
+    const auto made =
+        std::make_shared<session>(this->shared_from_this(), std::move(socket));
+    this->sessions.insert(made.get());
+    if (this->draining)
+    {
+        made->connection().drain();
+    }
+    asio::co_spawn(this->io, session::run(made), asio::detached);
+}
+
+asio::awaitable<void> entry::state::accept_callers()
+{
+    const auto keep = this->shared_from_this();
+    while (!this->draining)
+    {
+        if (this->sessions.size() >= this->settings.bounds.max_connections)
+        {
+            this->evict_one();
+            co_await this->room.wait();
+            continue;
+        }
+        error_code failure;
+        tcp::socket socket = co_await this->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+        {
+            this->open(std::move(socket));
+        }
+        else if (failure != asio::error::operation_aborted)
+        {
+            log::write(log::level::warning, "accept_failed",
+                       {log::kv("reason", failure.message())});
+            co_await this->room.wait_until(core::boot_clock::now() +
+                                           accept_pause);
+        }
+    }
+}
+
+// Connections that the system has already accepted would be reset by closing
+// the listener, so they are taken first.
+void entry::state::close_acceptor()
+{
+    error_code failure;
+    this->acceptor.cancel(failure);
+    this->acceptor.non_blocking(true, failure);
+    while (!failure)
+    {
+        tcp::socket socket(this->io);
+        this->acceptor.accept(socket, failure);
+        if (!failure)
+        {
+            this->open(std::move(socket));
+        }
+    }
+    this->acceptor.close(failure);
+}
+
+void entry::state::ended(session& gone)
+{
+    this->sessions.erase(&gone);
+    this->room.notify();
+    this->check_drained();
+}
+
+void entry::state::check_drained()
+{
+    if (!this->draining || !this->sessions.empty() || !this->drained)
+    {
+        return;
+    }
+    this->servers.close_idle();
+    this->sweep_timer.cancel();
+    const auto callback = std::exchange(this->drained, nullptr);
+    callback();
+}
+
+void entry::state::sweep()
+{
+    this->servers.close_aged();
+    this->sweep_timer.expires_after(sweep_period);
+    this->sweep_timer.async_wait(
+        [weak = this->weak_from_this()](error_code failure)
+        {
+            const auto self = weak.lock();
+            if (!failure && self)
+            {
+                self->sweep();
+            }
+        });
+}
+
+asio::awaitable<void> entry::state::session::run(std::shared_ptr<session> self)
+{
+    try
+    {
+        co_await self->serve_all();
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(log::level::error, "session_failed",
+                   {log::kv("reason", failure.what())});
+        self->forget();
+        self->caller->reset();
+    }
+    self->owner->ended(*self);
+}
+
+asio::awaitable<void> entry::state::session::serve_all()
+{
+    if (!co_await this->caller->handshake())
+    {
+        this->caller->reset();
+        co_return;
+    }
+    while (!this->caller->is_closing() && !this->caller->is_gone())
+    {
+        const head_status status = co_await this->caller->read_head();
+        if (status != head_status::complete)
+        {
+            co_await this->refuse_head(status);
+            break;
+        }
+        ++this->owner->counts.requests;
+        this->began = core::boot_clock::now();
+        co_await this->serve();
+        this->owner->counts.latency.add(core::boot_clock::now() - this->began);
+        this->write_log();
+        if (!this->caller->is_answer_whole())
+        {
+            this->owner->counts.answers_cut +=
+                this->caller->has_answer_begun() ? 1 : 0;
+            this->caller->reset();
+        }
+    }
+    co_await this->caller->close();
+}
+
+asio::awaitable<void> entry::state::session::refuse_head(head_status why)
+{
+    if (why == head_status::closed)
+    {
+        co_return;
+    }
+    ++this->owner->counts.requests;
+    this->request = {};
+    this->caller->close_after_answer();
+    core::step_refuse refusal;
+    refusal.code = result_code::bad_request;
+    if (why == head_status::too_large)
+    {
+        refusal.code = result_code::header_too_large;
+    }
+    if (why == head_status::timed_out)
+    {
+        refusal.code = result_code::caller_gone;
+    }
+    co_await this->refuse(refusal);
+}
+
+// Serves the request whose header is parsed.
+asio::awaitable<void> entry::state::session::serve()
+{
+    this->hop = {};
+    this->previous.reset();
+    this->account.clear();
+    this->route.clear();
+    this->server.clear();
+    core::result<checked_request> checked =
+        check_request(this->caller->header());
+    if (!checked)
+    {
+        this->request = {};
+        this->span = trace::make_span(std::nullopt);
+        this->caller->close_after_answer();
+        co_await this->refuse({result_code::bad_request, false, {}});
+        co_return;
+    }
+    this->request = std::move(*checked);
+    this->span = trace::make_span(this->request.parent);
+    if (this->request.close)
+    {
+        this->caller->close_after_answer();
+    }
+    if (co_await this->prepare())
+    {
+        co_await this->run_steps();
+    }
+}
+
+// Reads the first part of the body and registers the request; false when the
+// request has ended here.
+asio::awaitable<bool> entry::state::session::prepare()
+{
+    if (this->request.expects_continue && this->request.has_body())
+    {
+        co_await this->caller->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!co_await this->caller->prefetch(digest_bytes))
+    {
+        co_await this->refuse_body();
+        co_return false;
+    }
+    const std::string_view body =
+        this->caller->buffered_body().substr(0, digest_bytes);
+    this->request.facts.content_digest =
+        core::hash_text(body, core::hash_text(this->request.method + " " +
+                                              this->request.target));
+    this->id = this->owner->node.begin(this->request.facts, now());
+    this->account = this->owner->node.account_of(*this->id);
+    this->route = this->owner->node.route_of(*this->id);
+    const std::uint64_t limit = this->owner->body_limit_of(this->route);
+    this->caller->limit_body(limit);
+    if (this->request.content_length.value_or(0) > limit ||
+        this->caller->is_body_too_large())
+    {
+        this->forget();
+        co_await this->refuse({result_code::body_too_large, false, {}});
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> entry::state::session::run_steps()
+{
+    progress state = progress::next_step;
+    while (state == progress::next_step)
+    {
+        core::outbox out;
+        const core::step step = this->owner->node.next(*this->id, now(), out);
+        this->owner->flush(out);
+        state = co_await this->follow(step);
+    }
+    this->id.reset();
+}
+
+asio::awaitable<entry::state::session::progress>
+entry::state::session::follow(const core::step& step)
+{
+    if (const auto* waiting = std::get_if<core::step_wait>(&step))
+    {
+        const progress state = co_await this->wait(waiting->until);
+        co_return state;
+    }
+    if (const auto* sending = std::get_if<core::step_send>(&step))
+    {
+        const progress state = co_await this->attempt(*sending);
+        co_return state;
+    }
+    if (const auto* refusal = std::get_if<core::step_refuse>(&step))
+    {
+        co_await this->refuse(*refusal);
+    }
+    if (const auto* stored = std::get_if<core::step_replay>(&step))
+    {
+        co_await this->replay(stored->answer);
+    }
+    co_return progress::ended;
+}
+
+// Waits for the node; a caller that goes away ends the request.
+asio::awaitable<entry::state::session::progress>
+entry::state::session::wait(core::time_point until)
+{
+    // A time that has passed must not turn the loop into a busy one.
+    const core::time_point least = core::boot_clock::now() + milliseconds(1);
+    this->owner->waiting.insert(this);
+    co_await this->caller->wait_until(std::max(until, least));
+    this->owner->waiting.erase(this);
+    if (!this->caller->is_gone())
+    {
+        co_return progress::next_step;
+    }
+    ++this->owner->counts.callers_gone;
+    this->forget();
+    co_return progress::ended;
+}
+
+void entry::state::session::finish_attempt(const core::attempt_result& result)
+{
+    core::outbox out;
+    this->owner->node.finished(*this->id, result, now(), out);
+    this->owner->flush(out);
+}
+
+asio::awaitable<entry::state::session::progress>
+entry::state::session::attempt(const core::step_send& step)
+{
+    using core::attempt_end;
+    if (!this->caller->is_replayable() && this->previous)
+    {
+        // The body is no longer whole in the buffer, so the newest attempt
+        // was the last. The node is told that the request is over.
+        core::attempt_result over;
+        over.end = attempt_end::caller_gone;
+        this->finish_attempt(over);
+        const bool not_run =
+            this->previous->end == attempt_end::refused_not_run ||
+            this->previous->end == attempt_end::not_sent;
+        const result_code code = not_run ? result_code::server_shed
+                                         : result_code::server_closed_early;
+        co_await this->refuse({code, !not_run, {}});
+        co_return progress::ended;
+    }
+    ++this->hop.attempts;
+    this->server = step.server.name;
+    const core::attempt_result result = co_await this->owner->servers.attempt(
+        step, this->request, this->span, *this->caller);
+    this->previous = result;
+    this->finish_attempt(result);
+    if (this->caller->is_answer_whole())
+    {
+        ++this->owner->counts.answered;
+    }
+    if (result.end == attempt_end::caller_gone)
+    {
+        if (this->caller->is_gone())
+        {
+            ++this->owner->counts.callers_gone;
+        }
+        else
+        {
+            co_await this->refuse_body();
+        }
+    }
+    co_return progress::next_step;
+}
+
+// The caller's body is malformed, too large or came too slowly.
+asio::awaitable<void> entry::state::session::refuse_body()
+{
+    core::step_refuse refusal;
+    refusal.code = result_code::caller_gone;
+    if (this->caller->is_body_too_large())
+    {
+        refusal.code = result_code::body_too_large;
+    }
+    if (this->caller->is_body_malformed())
+    {
+        refusal.code = result_code::bad_request;
+    }
+    refusal.outcome_unknown = this->previous.has_value();
+    this->caller->close_after_answer();
+    co_await this->refuse(refusal);
+}
+
+asio::awaitable<void>
+entry::state::session::refuse(const core::step_refuse& refusal)
+{
+    // Nothing may follow the beginning of another answer.
+    if (this->caller->has_answer_begun())
+    {
+        co_return;
+    }
+    ++this->owner->counts.refusals[refusal.code];
+    ++(refusal.outcome_unknown ? this->owner->counts.refused_unknown
+                               : this->owner->counts.refused_not_run);
+    const std::string body = refusal_body(refusal);
+    answer_head head =
+        refusal_head(refusal, status_of(refusal.code), body.size());
+    const bool head_only = this->request.method == "HEAD";
+    head.has_body = !head_only;
+    co_await this->caller->write_head(
+        head, head_only ? std::string_view() : std::string_view(body), true);
+}
+
+asio::awaitable<void>
+entry::state::session::replay(const core::stored_answer& answer)
+{
+    ++this->owner->counts.replayed;
+    answer_head head;
+    head.status = answer.status;
+    head.reason = reason_of(answer.status);
+    if (!answer.content_type.empty())
+    {
+        head.lines = "Content-Type: " + answer.content_type + "\r\n";
+    }
+    head.has_body = answer.status != 204 && answer.status != 304;
+    if (head.has_body)
+    {
+        head.length = answer.body.size();
+    }
+    co_await this->caller->write_head(
+        head, head.has_body ? answer.body : std::string(), true);
+}
+
+// Releases a request that the node still knows.
+void entry::state::session::forget()
+{
+    if (!this->id)
+    {
+        return;
+    }
+    core::outbox out;
+    this->owner->node.abandon(*this->id, now(), out);
+    this->owner->flush(out);
+    this->id.reset();
+}
+
+void entry::state::session::write_log()
+{
+    this->hop.account = this->account;
+    this->hop.route = this->route;
+    this->hop.server = this->server;
+    this->hop.status = this->caller->answered_status();
+    this->hop.took = core::boot_clock::now() - this->began;
+    trace::write_span(this->span, this->request.parent, this->hop);
+}
+
+core::result<std::unique_ptr<entry>>
+entry::create(asio::io_context& io,
+              const config::settings& settings,
+              core::node& decisions,
+              send_function send)
+{
+    auto made =
+        std::make_shared<state>(io, settings, decisions, std::move(send));
+    error_code failure;
+    const auto address =
+        asio::ip::make_address(settings.callers.address, failure);
+    if (failure)
+    {
+        return core::make_error_code(result_code::settings_invalid);
+    }
+    made->local = tcp::endpoint(address, settings.callers.port);
+    auto tls = make_tls(settings.caller_tls);
+    if (!tls)
+    {
+        return tls.error();
+    }
+    made->tls = *tls;
+    return std::unique_ptr<entry>(new entry(std::move(made)));
+}
+
+entry::entry(std::shared_ptr<state> initial) : self(std::move(initial)) {}
+
+entry::~entry() = default;
+
+std::error_code entry::start()
+{
+    error_code failure;
+    tcp::acceptor& acceptor = this->self->acceptor;
+    acceptor.open(this->self->local.protocol(), failure);
+    if (!failure)
+    {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    }
+    if (!failure)
+    {
+        acceptor.bind(this->self->local, failure);
+    }
+    if (!failure)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure)
+    {
+        return failure;
+    }
+    this->self->local = acceptor.local_endpoint(failure);
+    asio::co_spawn(this->self->io, this->self->accept_callers(),
+                   asio::detached);
+    this->self->sweep();
+    return {};
+}
+
+std::uint16_t entry::port() const
+{
+    return this->self->local.port();
+}
+
+void entry::apply_document(std::shared_ptr<const core::document> next)
+{
+    this->self->servers.set_max_instances(next->fleet.max_instances);
+    this->self->body_limits.clear();
+    for (const core::route& item : next->routes)
+    {
+        this->self->body_limits[item.name] = item.max_body_bytes;
+    }
+}
+
+void entry::notify_changed()
+{
+    for (state::session* waiting : this->self->waiting)
+    {
+        waiting->connection().wake();
+    }
+}
+
+void entry::drain(std::function<void()> drained)
+{
+    this->self->draining = true;
+    this->self->drained = std::move(drained);
+    this->self->close_acceptor();
+    for (state::session* open : this->self->sessions)
+    {
+        open->connection().drain();
+    }
+    this->self->room.notify();
+    this->self->check_drained();
+}
+
+entry_counters entry::counters() const
+{
+    entry_counters copy = this->self->counts;
+    copy.connections_open = this->self->sessions.size();
+    copy.servers = this->self->servers.counters();
+    return copy;
+}
+
+} // namespace medlarbarrow::net
--- a/medlarbarrow/net/headers.cpp
+++ b/medlarbarrow/net/headers.cpp
@@ -62,9 +62,15 @@
 bool is_hop_by_hop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names{
-        "connection",         "keep-alive", "proxy-connection",
-        "proxy-authenticate", "te",         "proxy-authorization",
-        "trailer",            "upgrade",    "transfer-encoding"};
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "te",
+        "proxy-authorization",
+        "trailer",
+        "upgrade",
+        "transfer-encoding"};
     return std::ranges::any_of(names,
                                [name](std::string_view other)
                                {
@@ -174,14 +180,14 @@
 /// Host without port, in lower case; nothing when it is malformed.
 std::optional<std::string> plain_host(std::string_view host)
 {
-    const bool valid = std::ranges::all_of(
-        host,
-        [](char letter)
-        {
-            return is_letter_or_digit(letter) ||
-                   std::string_view(".-_:[]").find(letter) !=
-                       std::string_view::npos;
-        });
+    const bool valid =
+        std::ranges::all_of(host,
+                            [](char letter)
+                            {
+                                return is_letter_or_digit(letter) ||
+                                       std::string_view(".-_:[]").find(
+                                           letter) != std::string_view::npos;
+                            });
     if (host.empty() || !valid)
     {
         return std::nullopt;
@@ -190,19 +196,19 @@
     std::string_view name = host;
     const auto bracket = host.find(']');
     const auto colon = host.find(
-        ':', host.front() == '[' && bracket != std::string_view::npos ? bracket
-                                                                      : 0);
+        ':',
+        host.front() == '[' && bracket != std::string_view::npos ? bracket : 0);
     if (colon != std::string_view::npos)
     {
         name = host.substr(0, colon);
         port = host.substr(colon + 1);
     }
-    const bool digits = std::ranges::all_of(port,
-                                            [](char letter)
-                                            {
-                                                return letter >= '0' &&
-                                                       letter <= '9';
-                                            });
+    const bool digits =
+        std::ranges::all_of(port,
+                            [](char letter)
+                            {
+                                return letter >= '0' && letter <= '9';
+                            });
     if (name.empty() || !digits)
     {
         return std::nullopt;
@@ -562,7 +568,8 @@
             line_start = index + 1;
             continue;
         }
-        const bool folded = index == line_start && (byte == ' ' || byte == '\t');
+        const bool folded =
+            index == line_start && (byte == ' ' || byte == '\t');
         const bool control = (byte < 0x20 && byte != '\t') || byte == 0x7f;
         if (folded || control)
         {
