Queue requests fairly among accounts under an adaptive limit

Cause: one account's backlog must not delay the others, and servers with two or three slots must not be overrun by 40 instances. Change: admission_queue serves accounts by start tags, refuses early what can't finish in time, and evicts from the longest backlog; concurrency_limit follows completions.

A trial that broke ties by priority failed the property at 28 cases: an account could be served last in one round and first in the next. Ties now go to the account whose last service is longest ago. The property serves_no_account_more_than_its_share_plus_one was seen to fail on that variant; an_account_that_comes_back_waits_its_turn on one without start tags.

--- a/medlarbarrow/core/admission.hpp
+++ b/medlarbarrow/core/admission.hpp
@@ -40,9 +40,11 @@
     void close_window(time_point now);
 
     double limit = 2.0;
+    double least = 1.0;
     double greatest = 2.0;
+    bool started = false;
     double mean = 0.0;  ///< seconds, exponential average
-    double floor = 0.0; ///< seconds, lowest recent window mean
+    double floor = 0.0; ///< seconds, follows low window means
     std::uint32_t samples = 0;
     std::uint32_t overloads = 0;
     std::uint32_t peak_running = 0;
@@ -74,10 +76,10 @@
     std::vector<std::uint64_t> expired; ///< refuse: deadline_unreachable
 };
 
-/// The queue of one service. Accounts are served in start-time fair order; an
-/// account is never more than one request ahead of its fair share while others
-/// wait. Within that one request, and within an account, the higher route
-/// priority goes first.
+/// The queue of one service. Accounts are served in start-time fair order: over
+/// any period in which the same accounts wait, each gets at most its equal
+/// share plus one request. Within an account, and among accounts that have not
+/// been served since they came, the higher route priority goes first.
 class admission_queue
 {
 public:
@@ -114,22 +116,31 @@
     {
         std::map<route_priority, std::deque<waiting_request>> classes;
         std::size_t size = 0;
-        double next_start = 0.0; ///< virtual start time of its next request
+        std::uint64_t next_start = 0;  ///< virtual start of its next request
+        std::uint64_t last_served = 0; ///< 0: not since it came
     };
 
-    route_priority highest(const account_queue& queue) const;
-    std::map<std::string, account_queue>::iterator next_account();
-    std::optional<std::uint64_t> evict_for(const std::string& account);
-    waiting_request take_first(account_queue& queue);
+    using account_map = std::map<std::string, account_queue>;
+
+    static const waiting_request& head(const account_queue& queue);
+    static bool goes_before(const account_queue& left,
+                            const account_queue& right);
+    account_map::iterator next_account();
+    std::string longest_account(const std::string& arriving) const;
+    std::optional<std::uint64_t> evict_for(const waiting_request& arriving);
+    void erase_request(account_queue& queue,
+                       std::deque<waiting_request>& within,
+                       const std::deque<waiting_request>::iterator& at);
     void expire(time_point now, std::vector<std::uint64_t>& expired);
-    void forget_if_idle(const std::string& account);
+    void forget_idle_accounts();
 
     std::size_t capacity = 256;
     concurrency_limit limits;
     std::map<std::string, account_queue> accounts;
     std::unordered_map<std::uint64_t, std::string> account_of;
     std::uint32_t running_count = 0;
-    double virtual_time = 0.0;
+    std::uint64_t services = 0;
+    std::uint64_t virtual_time = 0; ///< start of the newest request started
 };
 
 } // namespace medlarbarrow::core
