--- a/medlarbarrow/config/edit.cpp
+++ b/medlarbarrow/config/edit.cpp
@@ -3,6 +3,7 @@
 #include <medlarbarrow/config/document.hpp>
 #include <medlarbarrow/config/edit.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
+#include <medlarbarrow/core/routing.hpp>
 
 namespace medlarbarrow::config
 {
@@ -53,12 +54,6 @@
     return "none";
 }
 
-bool takes_new_work(core::server_order order)
-{
-    return order == core::server_order::none ||
-           order == core::server_order::readmit;
-}
-
 checked<core::document> with_order(core::document source,
                                    std::string_view service,
                                    std::string_view server,
@@ -77,7 +72,7 @@
     {
         return refusal("the server has no order");
     }
-    if (removes && !takes_new_work(target->order) &&
+    if (removes && !core::takes_new_work(target->order) &&
         target->order != core::server_order::drain)
     {
         return refusal(fmt::format("the order of the server is {}; readmit "
@@ -143,7 +138,7 @@
             std::count_if(item.servers.begin(), item.servers.end(),
                           [](const core::backend_server& server)
                           {
-                              return takes_new_work(server.order);
+                              return core::takes_new_work(server.order);
                           }));
         const double floor = item.policy.healthy_floor *
                              static_cast<double>(item.servers.size());
--- a/medlarbarrow/config/edit.hpp
+++ b/medlarbarrow/config/edit.hpp
@@ -14,9 +14,6 @@
 /// Name of an operator's order as it stands in the document.
 std::string_view name_of(core::server_order order);
 
-/// True unless the order keeps new work from the server.
-bool takes_new_work(core::server_order order);
-
 /// The next version with this order of a server. `none` removes drain and
 /// readmit; eject and hold are ended by readmit, so that nobody undoes them by
 /// mistake for a drain. Problems: there is no such server, the order cannot be
--- a/medlarbarrow/config/inspect.cpp
+++ b/medlarbarrow/config/inspect.cpp
@@ -6,6 +6,7 @@
 #include <medlarbarrow/core/accounts.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
 #include <medlarbarrow/core/routes.hpp>
+#include <medlarbarrow/core/routing.hpp>
 
 namespace medlarbarrow::config
 {
@@ -264,7 +265,7 @@
             this->answer["healthy_floor"] = service.policy.healthy_floor;
             for (const core::backend_server& server : service.servers)
             {
-                const bool candidate = takes_new_work(server.order);
+                const bool candidate = core::takes_new_work(server.order);
                 any = any || candidate;
                 servers.push_back(
                     {{"server", server.name},
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -5,6 +5,7 @@
 #include <medlarbarrow/config/document.hpp>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <tests/process.hpp>
 #include <unistd.h>
 
 using namespace medlarbarrow;
@@ -333,6 +334,22 @@
     EXPECT_EQ(this->output.find('\x1b'), std::string::npos);
 }
 
+// Guards against a program that does not pass on the exit status.
+TEST_F(the_commands, give_the_program_its_exit_status)
+{
+    const auto status_of = [this](std::vector<std::string> words)
+    {
+        tests::process program(PROGRAM_DIR "/medlarctl", std::move(words),
+                               this->path("messages"));
+        return program.wait();
+    };
+    const std::string source = this->path("document.json");
+    EXPECT_EQ(status_of({"check", source}), 0);
+    EXPECT_EQ(status_of({"explain", source, "--path", "/x"}), 1);
+    EXPECT_EQ(status_of({"reload"}), 2);
+    EXPECT_EQ(status_of({"status", "--from", "127.0.0.1:1"}), 3);
+}
+
 // Guards against a command that is missing from the page.
 TEST_F(the_commands, are_documented)
 {
--- a/tests/examples_test.cpp
+++ b/tests/examples_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <medlarbarrow/config/document.hpp>
 #include <medlarbarrow/config/settings.hpp>
+#include <medlarbarrow/core/result_codes.hpp>
 #include <sstream>
 
 using namespace medlarbarrow;
@@ -74,14 +75,38 @@
     EXPECT_EQ(reefs.accounts.size(), 8U);
 }
 
-// Guards against pages that name a command or a code that does not exist.
+// Guards against refusals that the runbook does not explain.
 TEST(the_runbook, names_every_code_that_callers_see)
 {
     const std::string page = read_file(SOURCE_DIR "/docs/RUNBOOK.md");
-    for (const char* code :
-         {"101", "102 to 105", "201", "202", "203", "204", "205", "206", "207",
-          "302", "303", "306", "401 to 403", "404", "405", "406"})
+    int codes = 0;
+    for (int number = 100; number < 500; ++number)
     {
-        EXPECT_NE(page.find(code), std::string::npos) << code;
+        const std::string name =
+            core::name_of(static_cast<core::result_code>(number));
+        if (name != "unknown")
+        {
+            EXPECT_NE(page.find("`" + name + "`"), std::string::npos) << name;
+            ++codes;
+        }
+    }
+    EXPECT_GE(codes, 28);
+}
+
+// Guards against a step that names a command that does not exist.
+TEST(the_runbook, names_only_documented_commands)
+{
+    const std::string page = read_file(SOURCE_DIR "/docs/RUNBOOK.md");
+    const std::string commands = read_file(SOURCE_DIR "/docs/COMMANDS.md");
+    const std::string program = "medlarctl ";
+    int found = 0;
+    for (std::size_t at = 0; (at = page.find(program, at)) != std::string::npos;
+         ++found)
+    {
+        at += program.size();
+        const std::string name =
+            page.substr(at, page.find_first_of(" `", at) - at);
+        EXPECT_NE(commands.find("| `" + name), std::string::npos) << name;
     }
+    EXPECT_GT(found, 20);
 }
