--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -15,6 +15,8 @@
 namespace medlarbarrow::core
 {
 
+struct detection_event; // detection.hpp
+
 struct node_settings
 {
     instance_id self;
@@ -165,7 +167,8 @@
     /// The caller is gone before an attempt ran; forgets the request.
     void abandon(request_id request, instant now, outbox& out);
 
-    /// Starts the graceful end: begin() refuses from now on, homes hand over.
+    /// Starts the graceful end: hands over what this home owns. Requests that
+    /// still arrive are served; the adapter stops taking connections.
     outbox shut_down(instant now);
 
     /// Account and route of a request, for logs; empty when unknown.
@@ -178,6 +181,9 @@
 
     node_view view(time_point now) const;
 
+    /// Decisions of this home about servers since the last call, for the log.
+    std::vector<detection_event> take_detection_events();
+
 private:
     struct state;
     explicit node(std::unique_ptr<state> initial);
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -187,9 +187,16 @@
         own.self = {"entry-1", 1};
         own.data_centre = "suva";
         own.region = "viti-levu";
+        // A process delegates nothing, and so grants no tokens, until the
+        // leases of its predecessor have ended: let it have started earlier.
+        this->document->fleet.max_instances = 1;
+        const auto started = core::boot_clock::now() - std::chrono::minutes(1);
         this->node = std::make_unique<core::node>(
-            std::move(*core::node::create(own, core::boot_clock::now())));
+            std::move(*core::node::create(own, started)));
         ASSERT_FALSE(this->node->apply_document(this->document, now()));
+        core::listed_instance itself;
+        itself.name = "entry-1";
+        ASSERT_FALSE(this->node->apply_list({1, {itself}}, now()));
         this->entry = std::move(*net::entry::create(
             this->io, this->settings, *this->node, [](core::outbox&&) {}));
         this->entry->apply_document(this->document);
