Note the first call for a token in the request

Cause: token_holder::spend() counts a waiting request when its first call has asked == now, and the node passed the time of begin(), which the adapter reads earlier; the token request then asked for 0 tokens. Ruled out: the link, the codec and the home. Before: every keyed request at an instance that is not the account's home was refused with 207 after 250 ms; after: node_test serves 30 of 30 at three instances. The test failed before with the same code.

--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -126,7 +126,6 @@
 
 void node::state::begin(request_state& request, instant now)
 {
-    request.begun = now.monotonic;
     if (!this->in_force)
     {
         request.refusal =
@@ -207,8 +206,12 @@
         request.phase = request_phase::claim;
         return std::nullopt;
     }
+    if (!request.token_asked)
+    {
+        request.token_asked = now.monotonic;
+    }
     const spend_result spent =
-        this->tokens.spend(request.account, request.begun, this->limits,
+        this->tokens.spend(request.account, *request.token_asked, this->limits,
                            this->owners, now.monotonic, out);
     switch (spent.kind)
     {
--- a/medlarbarrow/core/node_state.hpp
+++ b/medlarbarrow/core/node_state.hpp
@@ -57,7 +57,7 @@
     std::shared_ptr<const document> source;
     const route* matched = nullptr;
     std::string account;
-    time_point begun{};
+    std::optional<time_point> token_asked; ///< first call for a token
     time_point deadline{};
     request_phase phase = request_phase::limit;
     std::optional<step_refuse> refusal;
