--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -771,11 +771,11 @@
     return this->self->local.port();
 }
 
-void entry::apply_document(std::shared_ptr<const core::document> next)
+void entry::apply_document(const core::document& next)
 {
-    this->self->servers.set_max_instances(next->fleet.max_instances);
+    this->self->servers.set_max_instances(next.fleet.max_instances);
     this->self->body_limits.clear();
-    for (const core::route& item : next->routes)
+    for (const core::route& item : next.routes)
     {
         this->self->body_limits[item.name] = item.max_body_bytes;
     }
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -76,7 +76,7 @@
     std::uint16_t port() const;
 
     /// Body limits and shares of connections come from this document.
-    void apply_document(std::shared_ptr<const core::document> next);
+    void apply_document(const core::document& next);
 
     /// The node has received or ticked: waiting requests ask it again.
     void notify_changed();
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -40,7 +40,7 @@
 /// the connection: a silent connection is found before most deadlines.
 constexpr milliseconds unacknowledged_limit{3000};
 
-constexpr std::size_t answer_header_limit = 64U * 1024U;
+constexpr std::size_t answer_header_limit = 65536;
 constexpr std::size_t least_share = 2;
 constexpr unsigned informational_limit = 8;
 
@@ -96,6 +96,19 @@
     return head + "\r\n";
 }
 
+/// Next part of the request body; an empty last one without a body.
+asio::awaitable<body_part> next_part(caller_port& caller,
+                                     const checked_request& request,
+                                     std::uint64_t position,
+                                     const bool& stopped)
+{
+    if (!request.has_body())
+    {
+        co_return body_part{{}, true, false};
+    }
+    co_return co_await caller.read_body(position, stopped);
+}
+
 bool says_not_run(const http::response_header<>& header)
 {
     return header.result_int() == 503 && header["Medlar-Not-Run"] == "1";
@@ -427,17 +440,14 @@
                        std::shared_ptr<caller_port> caller)
 {
     std::uint64_t position = 0;
-    bool last = !request.has_body();
+    bool last = false;
     std::string before = std::move(head);
     error_code failure;
     do
     {
-        body_part part;
-        if (!last)
-        {
-            part = co_await caller->read_body(position, run->stopped);
-            last = part.last;
-        }
+        const body_part part =
+            co_await next_part(*caller, request, position, run->stopped);
+        last = part.last;
         if (part.failed)
         {
             run->stop(exchange::stop_cause::caller_failed);
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -192,7 +192,7 @@
         ASSERT_FALSE(this->node->apply_document(this->document, now()));
         this->entry = std::move(*net::entry::create(
             this->io, this->settings, *this->node, [](core::outbox&&) {}));
-        this->entry->apply_document(this->document);
+        this->entry->apply_document(*this->document);
         ASSERT_FALSE(this->entry->start());
         this->schedule_tick();
         this->thread = std::thread(
