Recognise answers that belong to another request

A surplus answer that a server sent after an earlier request was taken for the answer to the next one on a reused connection. Connections now rest for 2 ms before reuse, and an answer that names another Medlar-Request-Id ends the attempt.

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -28,6 +28,11 @@
 /// connection is seldom one that its server is about to close.
 constexpr seconds idle_age_limit{4};
 
+/// A connection rests this long before reuse, unless the share of the server
+/// is used up: bytes that follow an answer unasked for arrive in this time and
+/// are noticed.
+constexpr milliseconds settle_time{2};
+
 /// Servers are a few milliseconds away; a connection that takes longer is
 /// lost packets or a full backlog.
 constexpr seconds connect_limit{1};
@@ -42,6 +47,9 @@
 
 constexpr std::size_t answer_header_limit = 65536;
 constexpr std::size_t least_share = 2;
+
+/// Differs for each attempt; a server may repeat it in its answer.
+constexpr std::string_view request_id_name = "Medlar-Request-Id";
 constexpr unsigned informational_limit = 8;
 
 /// Keep-alive probes find a dead peer of an idle connection within 3 s.
@@ -76,13 +84,24 @@
     return std::max(left, milliseconds(1));
 }
 
+/// False for an answer that names another request than the one it follows. A
+/// server need not name any; one that does is guarded against crossed answers.
+bool is_own_answer(const http::response_header<>& header,
+                   std::string_view request_id)
+{
+    const auto named = header.find(request_id_name);
+    return named == header.end() || named->value() == request_id;
+}
+
 std::string request_head(const core::step_send& step,
                          const checked_request& request,
-                         const trace::context& span)
+                         const trace::context& span,
+                         std::string_view request_id)
 {
     std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
     head += request.lines;
     head += "traceparent: " + trace::format(span) + "\r\n";
+    head += fmt::format("{}: {}\r\n", request_id_name, request_id);
     head += fmt::format("Medlar-Deadline-Ms: {}\r\n",
                         remaining(step.deadline).count());
     if (request.chunked)
@@ -215,6 +234,35 @@
         this->changed.notify();
     }
 
+    /// Decodes buffered input into `piece`; false when it is malformed.
+    bool decode()
+    {
+        auto& body = this->parser->get().body();
+        const std::size_t room = this->piece.size() - this->filled;
+        body.data = this->piece.data() + this->filled;
+        body.size = room;
+        body.more = true;
+        while (this->input.size() > 0 && body.size > 0 &&
+               !this->parser->is_done())
+        {
+            error_code failure;
+            const std::size_t used =
+                this->parser->put(this->input.data(), failure);
+            this->input.consume(used);
+            if (failure && failure != http::error::need_more &&
+                failure != http::error::need_buffer)
+            {
+                return false;
+            }
+            if (used == 0)
+            {
+                break;
+            }
+        }
+        this->filled += room - body.size;
+        return true;
+    }
+
     void keep(std::string_view part)
     {
         this->kept_fits &=
@@ -276,6 +324,7 @@
     bool sender_ended = true;
     bool request_whole = false; ///< all bytes of the request are written
 
+    std::string request_id;
     core::time_point send_began{};
     bool answer_whole = false;
     bool reusable = false;
@@ -343,16 +392,32 @@
     return found;
 }
 
-// Newest first, so that surplus connections grow old and are closed.
-bool upstream::take_idle(exchange& run)
+// Takes the newest connection that has rested, so that surplus connections
+// grow old and are closed. When the share is used up, the oldest must do.
+bool upstream::take_idle(const core::step_send& step, exchange& run)
 {
     server_pool& pool = *run.pool;
     while (!pool.idle.empty())
     {
-        server_pool::idle_connection candidate = std::move(pool.idle.back());
-        pool.idle.pop_back();
-        const core::duration age = core::boot_clock::now() - candidate.since;
-        if (age < idle_age_limit && is_quiet(candidate.socket))
+        const core::time_point now = core::boot_clock::now();
+        auto chosen =
+            std::find_if(pool.idle.rbegin(), pool.idle.rend(),
+                         [now](const server_pool::idle_connection& candidate)
+                         {
+                             return now - candidate.since >= settle_time;
+                         });
+        if (chosen == pool.idle.rend())
+        {
+            if (pool.open < this->share_of(step.server))
+            {
+                return false;
+            }
+            --chosen;
+        }
+        server_pool::idle_connection candidate = std::move(*chosen);
+        pool.idle.erase(std::next(chosen).base());
+        if (now - candidate.since < idle_age_limit &&
+            is_quiet(candidate.socket))
         {
             run.socket = std::move(candidate.socket);
             run.holds_slot = true;
@@ -371,7 +436,7 @@
     server_pool& pool = *run.pool;
     while (!run.stopped)
     {
-        if (!step.fresh_connection && this->take_idle(run))
+        if (!step.fresh_connection && this->take_idle(step, run))
         {
             co_return true;
         }
@@ -514,7 +579,8 @@
     const bool has_body =
         request.method != "HEAD" && status != 204 && status != 304;
     // Without a stated end, an answer that ends early would look whole.
-    if (status < 200 || (has_body && !has_clear_framing(header)))
+    if (status < 200 || (has_body && !has_clear_framing(header)) ||
+        !is_own_answer(header, run.request_id))
     {
         run.stop(exchange::stop_cause::bad_answer);
         co_return false;
@@ -529,28 +595,36 @@
 
 // Reads the next part of the body into run.piece. A short answer of stated
 // length is read whole before its first byte goes to the caller, so that its
-// early end still allows a retry.
+// early end still allows a retry. Otherwise any part is passed on at once.
 asio::awaitable<bool> upstream::read_piece(exchange& run)
 {
     const bool gather = !run.passed_on && run.head.length.has_value();
-    error_code failure;
     run.filled = 0;
-    while (!run.parser->is_done() && run.filled < run.piece.size() &&
-           (gather || run.filled == 0))
+    while (true)
     {
-        auto& body = run.parser->get().body();
-        const std::size_t room = run.piece.size() - run.filled;
-        body.data = run.piece.data() + run.filled;
-        body.size = room;
-        body.more = true;
-        co_await http::async_read_some(
-            run.socket, run.input, *run.parser,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (failure && failure != http::error::need_buffer)
+        if (!run.decode())
+        {
+            run.stop(exchange::stop_cause::bad_answer);
+        }
+        const bool enough = run.parser->is_done() ||
+                            run.filled == run.piece.size() ||
+                            (run.filled > 0 && !gather);
+        if (enough || run.stopped)
+        {
+            break;
+        }
+        error_code failure;
+        const std::size_t room = run.input.max_size() - run.input.size();
+        const std::size_t wanted =
+            room < this->piece_bytes ? room : this->piece_bytes;
+        const auto space = run.input.prepare(wanted);
+        const std::size_t count = co_await run.socket.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, failure));
+        run.input.commit(count);
+        if (failure)
         {
             co_return false;
         }
-        run.filled += room - body.size;
     }
     this->counts->bytes_from_servers += run.filled;
     co_return !run.stopped;
@@ -714,11 +788,13 @@
     if (acquired)
     {
         run->send_began = core::boot_clock::now();
+        run->request_id = trace::span_id_text(trace::make_span(span));
         run->sender_ended = false;
         asio::co_spawn(this->executor,
-                       this->send_request(run,
-                                          request_head(step, request, span),
-                                          request, caller.shared_from_this()),
+                       this->send_request(
+                           run,
+                           request_head(step, request, span, run->request_id),
+                           request, caller.shared_from_this()),
                        asio::detached);
         co_await this->read_answer(run, step, request, caller);
         co_await this->end_sender(*run, caller);
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -110,7 +110,7 @@
     std::shared_ptr<server_pool> pool_of(const core::backend_server& server);
     std::size_t share_of(const core::backend_server& server) const noexcept;
     asio::awaitable<bool> acquire(const core::step_send& step, exchange& run);
-    bool take_idle(exchange& run);
+    bool take_idle(const core::step_send& step, exchange& run);
     asio::awaitable<bool> connect(const core::step_send& step, exchange& run);
     void release(exchange& run);
     asio::awaitable<void> send_request(std::shared_ptr<exchange> run,
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -63,6 +63,18 @@
     return fallback;
 }
 
+std::string request_id_of(const execution& item)
+{
+    for (const auto& [name, value] : item.headers)
+    {
+        if (boost::beast::iequals(name, "Medlar-Request-Id"))
+        {
+            return value;
+        }
+    }
+    return "";
+}
+
 bool peer_left(tcp::socket& socket)
 {
     char byte = 0;
@@ -99,6 +111,7 @@
     bool chunked = false;
     bool not_run = false;
     bool close = false;
+    std::string request_id; ///< named in the answer unless empty
 };
 
 std::string head_text(const answer_plan& plan)
@@ -108,6 +121,10 @@
         std::string_view(
             http::obsolete_reason(http::int_to_status(plan.status))));
     text += plan.not_run ? "Medlar-Not-Run: 1\r\n" : "";
+    if (!plan.request_id.empty())
+    {
+        text += fmt::format("Medlar-Request-Id: {}\r\n", plan.request_id);
+    }
     text += plan.close ? "Connection: close\r\n" : "";
     text += plan.chunked ? "Transfer-Encoding: chunked\r\n"
                          : fmt::format("Content-Length: {}\r\n", plan.bytes);
@@ -343,6 +360,7 @@
         plan.bytes = std::max<std::uint64_t>(
             plan.body.size(), query_number(item.target, "bytes", 0));
         plan.chunked = query_number(item.target, "chunked", 0) == 1;
+        plan.request_id = request_id_of(item);
         stays =
             co_await this->write_answer(socket, plan, item.method == "HEAD");
         item.finished = stays;
@@ -352,8 +370,11 @@
     this->slot_freed->notify();
     if (stays && now.stray_answer)
     {
-        co_await this->write_text(socket, "HTTP/1.1 200 OK\r\n"
-                                          "Content-Length: 5\r\n\r\nstray");
+        answer_plan stray;
+        stray.request_id = request_id_of(item);
+        stray.body = "stray";
+        stray.bytes = stray.body.size();
+        co_await this->write_answer(socket, stray, false);
     }
     co_return stays;
 }
--- /dev/null
+++ b/tests/upstream_test.cpp
@@ -0,0 +1,305 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/upstream.hpp>
+#include <standin/server.hpp>
+
+using namespace medlarbarrow;
+using core::attempt_end;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// A caller whose request has no body; it records what it receives.
+class recording_caller : public net::caller_port
+{
+public:
+    asio::awaitable<net::body_part> read_body(std::uint64_t,
+                                              const bool&) override
+    {
+        co_return net::body_part{{}, true, false};
+    }
+
+    void wake() override {}
+
+    asio::awaitable<bool> write_head(const net::answer_head& head,
+                                     std::string_view part,
+                                     bool last) override
+    {
+        this->status = head.status;
+        const bool written = co_await this->write_part(part, last);
+        co_return written;
+    }
+
+    asio::awaitable<bool> write_part(std::string_view part, bool last) override
+    {
+        this->body += part;
+        this->whole = last;
+        co_return !this->refuses;
+    }
+
+    bool is_gone() const override
+    {
+        return false;
+    }
+
+    void leave()
+    {
+        if (const auto callback = this->on_gone)
+        {
+            callback();
+        }
+    }
+
+    unsigned status = 0;
+    std::string body;
+    bool whole = false;
+    bool refuses = false; ///< every write fails
+};
+
+class attempts : public ::testing::Test
+{
+protected:
+    attempts()
+    {
+        this->step.service = "logbook";
+        this->step.server.name = "logbook-1";
+        this->step.server.address = "127.0.0.1";
+        this->step.server.port = this->backend.port();
+        this->step.server.connections = 360;
+        this->request.method = "GET";
+        this->request.lines = "Host: reef.example\r\n";
+    }
+
+    core::attempt_result run(const std::string& target,
+                             milliseconds deadline = milliseconds(10000),
+                             milliseconds leave_after = milliseconds(0))
+    {
+        this->request.target = target;
+        this->step.deadline = core::boot_clock::now() + deadline;
+        this->caller = std::make_shared<recording_caller>();
+        core::attempt_result result;
+        bool ended = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                result = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{},
+                    *this->caller);
+                ended = true;
+            },
+            asio::detached);
+        asio::steady_timer leaving(this->io);
+        if (leave_after > milliseconds(0))
+        {
+            leaving.expires_after(leave_after);
+            leaving.async_wait(
+                [this](boost::system::error_code)
+                {
+                    this->caller->leave();
+                });
+        }
+        this->io.restart();
+        while (!ended && this->io.run_one() > 0)
+        {
+        }
+        return result;
+    }
+
+    void set_mode(bool standin::server_modes::*mode)
+    {
+        standin::server_modes modes;
+        modes.*mode = true;
+        this->backend.set_modes(modes);
+    }
+
+    standin::server backend{standin::server_options{}};
+    asio::io_context io;
+    net::upstream servers{this->io.get_executor(), config::entry_bounds{}};
+    core::step_send step;
+    net::checked_request request;
+    std::shared_ptr<recording_caller> caller;
+};
+
+class attempts_of_orders : public attempts
+{
+protected:
+    attempts_of_orders()
+    {
+        this->step.fresh_connection = true;
+        this->step.keep_answer = true;
+    }
+};
+
+} // namespace
+
+// Guards against a lost or changed answer.
+TEST_F(attempts, pass_a_whole_answer_on)
+{
+    const auto result = this->run("/a?bytes=300000");
+    EXPECT_EQ(result.end, attempt_end::answered);
+    EXPECT_EQ(result.status, 200U);
+    EXPECT_FALSE(result.answer);
+    EXPECT_EQ(this->caller->body.size(), 300000U);
+    EXPECT_TRUE(this->caller->whole);
+}
+
+// Guards against "not sent" where a byte was written, and the reverse.
+TEST_F(attempts, that_cannot_connect_are_not_sent)
+{
+    {
+        standin::server gone{standin::server_options{}};
+        this->step.server.port = gone.port();
+    }
+    EXPECT_EQ(this->run("/a").end, attempt_end::not_sent);
+    EXPECT_EQ(this->servers.counters().connections_open, 0U);
+}
+
+// Guards against a false "not run": the server may have run these.
+TEST_F(attempts, whose_connection_ends_before_the_answer_are_closed_early)
+{
+    this->set_mode(&standin::server_modes::close_before_answer);
+    EXPECT_EQ(this->run("/a").end, attempt_end::closed_early);
+    EXPECT_EQ(this->caller->status, 0U);
+}
+
+// Guards against a short answer that reaches the caller in part although a
+// retry would have been possible.
+TEST_F(attempts, whose_short_answer_ends_early_pass_nothing_on)
+{
+    this->set_mode(&standin::server_modes::close_mid_answer);
+    EXPECT_EQ(this->run("/a?bytes=10000").end, attempt_end::closed_early);
+    EXPECT_EQ(this->caller->status, 0U);
+}
+
+// Guards against the last part of a cut answer being marked as the end.
+TEST_F(attempts, whose_long_answer_ends_early_are_answered_partly)
+{
+    this->set_mode(&standin::server_modes::close_mid_answer);
+    for (const std::string target :
+         {"/a?bytes=900000", "/a?bytes=900&chunked=1"})
+    {
+        EXPECT_EQ(this->run(target).end, attempt_end::answered_partly);
+        EXPECT_FALSE(this->caller->whole);
+    }
+}
+
+// Guards against a shed request that is taken for one that ran.
+TEST_F(attempts, that_the_server_sheds_did_not_run)
+{
+    this->set_mode(&standin::server_modes::shed);
+    EXPECT_EQ(this->run("/a").end, attempt_end::refused_not_run);
+    EXPECT_EQ(this->caller->status, 0U);
+    EXPECT_TRUE(this->backend.journal().empty());
+}
+
+// Guards against waiting past the deadline and against a server that goes on.
+TEST_F(attempts, past_the_deadline_time_out_and_cancel)
+{
+    this->set_mode(&standin::server_modes::hang);
+    EXPECT_EQ(this->run("/a", milliseconds(100)).end, attempt_end::timed_out);
+    const auto give_up =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!this->backend.journal().at(0).cancelled &&
+           std::chrono::steady_clock::now() < give_up)
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    EXPECT_TRUE(this->backend.journal().at(0).cancelled);
+}
+
+// Guards against servers that work for callers who have left.
+TEST_F(attempts, of_a_caller_who_leaves_are_cancelled)
+{
+    this->set_mode(&standin::server_modes::hang);
+    const auto result = this->run("/a", milliseconds(20000), milliseconds(50));
+    EXPECT_EQ(result.end, attempt_end::caller_gone);
+}
+
+// Guards against a late or surplus answer that reaches the next request. An
+// attempt that meets one may fail, since the server may have run it.
+TEST_F(attempts, never_receive_the_surplus_answer_of_an_earlier_one)
+{
+    this->set_mode(&standin::server_modes::stray_answer);
+    this->servers.set_max_instances(180); // 2 connections, so they are reused
+    for (int count = 0; count < 40; ++count)
+    {
+        const auto result = this->run("/a");
+        if (result.end == attempt_end::answered)
+        {
+            const std::size_t number = this->backend.journal().size();
+            EXPECT_NE(this->caller->body.find(
+                          "\"execution\":" + std::to_string(number) + ","),
+                      std::string::npos);
+            continue;
+        }
+        EXPECT_EQ(result.end, attempt_end::closed_early);
+        EXPECT_EQ(this->caller->status, 0U);
+    }
+}
+
+// Guards against more connections than this instance's share of the server's.
+TEST_F(attempts, keep_to_their_share_of_connections)
+{
+    this->servers.set_max_instances(100); // 360 / 100 = 3
+    int running = 30;
+    std::vector<std::shared_ptr<recording_caller>> callers;
+    this->request.target = "/a?delay_ms=5";
+    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
+    for (int count = 0; count < 30; ++count)
+    {
+        callers.push_back(std::make_shared<recording_caller>());
+        asio::co_spawn(
+            this->io,
+            [&, own = callers.back()]() -> asio::awaitable<void>
+            {
+                const auto result = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{}, *own);
+                EXPECT_EQ(result.end, attempt_end::answered);
+                --running;
+            },
+            asio::detached);
+    }
+    while (running > 0 && this->io.run_one() > 0)
+    {
+        EXPECT_LE(this->servers.counters().connections_open, 3U);
+    }
+    EXPECT_EQ(this->backend.connections_accepted(), 3U);
+}
+
+// Guards against an order that is lost in a connection the server is closing.
+TEST_F(attempts_of_orders, use_a_new_connection_each)
+{
+    for (int count = 0; count < 3; ++count)
+    {
+        EXPECT_EQ(this->run("/a").end, attempt_end::answered);
+    }
+    EXPECT_EQ(this->backend.connections_accepted(), 3U);
+}
+
+// Guards against repeats of an order that find no first answer.
+TEST_F(attempts_of_orders, keep_answers_up_to_the_limit)
+{
+    const auto small = this->run("/a?bytes=16384");
+    ASSERT_TRUE(small.answer);
+    EXPECT_EQ(small.answer->status, 200U);
+    EXPECT_EQ(small.answer->content_type, "application/json");
+    EXPECT_EQ(small.answer->body, this->caller->body);
+    EXPECT_FALSE(this->run("/a?bytes=16385").answer);
+}
+
+// Guards against losing the answer of an order whose caller did not wait.
+TEST_F(attempts_of_orders, finish_although_the_caller_leaves)
+{
+    const auto result =
+        this->run("/a?delay_ms=200", milliseconds(20000), milliseconds(50));
+    EXPECT_EQ(result.end, attempt_end::answered);
+    EXPECT_TRUE(result.answer);
+    EXPECT_TRUE(this->backend.journal().at(0).finished);
+}
