--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -525,6 +525,14 @@
     this->close_socket();
 }
 
+std::optional<core::time_point> caller_connection::idle_since()
+{
+    error_code ignored;
+    const bool arriving = !this->closed && this->idle &&
+                          this->stream.socket().available(ignored) > 0;
+    return arriving ? std::nullopt : this->idle;
+}
+
 void caller_connection::evict()
 {
     this->close_socket();
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -179,11 +179,9 @@
         return this->changed.wait_until(deadline);
     }
 
-    /// Idle since the end of the newest request; nothing during one.
-    std::optional<core::time_point> idle_since() const
-    {
-        return this->idle;
-    }
+    /// Idle since the end of the newest request; nothing during a request and
+    /// when bytes of the next one have arrived.
+    std::optional<core::time_point> idle_since();
 
     /// Ends an idle connection to make room for another one.
     void evict();
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -26,7 +26,8 @@
 /// the digest does not depend on how the body arrived.
 constexpr std::size_t digest_bytes = 4096;
 
-/// Time to wait after accept() failed for lack of file descriptors.
+/// Time to wait after accept() failed for lack of file descriptors, and
+/// between looks for an idle connection that may end for a new one.
 constexpr milliseconds accept_pause{100};
 
 constexpr seconds sweep_period{1};
@@ -178,8 +179,9 @@
 
     void flush(core::outbox& out);
     asio::awaitable<void> accept_callers();
+    asio::awaitable<void> make_room();
     void open(tcp::socket&& socket);
-    bool evict_one();
+    void evict_one();
     void close_acceptor();
     void ended(session& gone);
     void sweep();
@@ -278,8 +280,8 @@
                : found->second;
 }
 
-// Closes the connection that has been idle longest; false when none is idle.
-bool entry::state::evict_one()
+// Closes the connection that has been idle longest, if any is idle.
+void entry::state::evict_one()
 {
     session* oldest = nullptr;
     for (session* candidate : this->sessions)
@@ -295,7 +297,6 @@
     {
         oldest->connection().evict();
     }
-    return oldest != nullptr;
 }
 
 void entry::state::open(tcp::socket&& socket)
@@ -316,17 +317,12 @@
     const auto keep = this->shared_from_this();
     while (!this->draining)
     {
-        if (this->sessions.size() >= this->settings.bounds.max_connections)
-        {
-            this->evict_one();
-            co_await this->room.wait();
-            continue;
-        }
         error_code failure;
         tcp::socket socket = co_await this->acceptor.async_accept(
             asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
         {
+            co_await this->make_room();
             this->open(std::move(socket));
         }
         else if (failure != asio::error::operation_aborted)
@@ -339,6 +335,18 @@
     }
 }
 
+// Waits until one more connection is within the limit; idle ones end for it.
+asio::awaitable<void> entry::state::make_room()
+{
+    while (!this->draining &&
+           this->sessions.size() >= this->settings.bounds.max_connections)
+    {
+        this->evict_one();
+        // An idle connection may appear without a notification.
+        co_await this->room.wait_until(core::boot_clock::now() + accept_pause);
+    }
+}
+
 // Connections that the system has already accepted would be reset by closing
 // the listener, so they are taken first.
 void entry::state::close_acceptor()
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -72,6 +72,15 @@
         return got;
     }
 
+    /// True when the entry closes the connection within the test's patience.
+    bool is_closed()
+    {
+        boost::system::error_code failure;
+        char byte = 0;
+        this->socket.read_some(asio::buffer(&byte, 1), failure);
+        return failure.failed();
+    }
+
     answer ask(std::string_view text)
     {
         this->send(text);
@@ -137,6 +146,7 @@
 protected:
     entry_fixture()
     {
+        net::log::start(net::log::level::error);
         this->settings.name = "entry-1";
         this->settings.data_centre = "suva";
         this->settings.region = "viti-levu";
@@ -169,11 +179,11 @@
         {
             this->thread.join();
         }
+        net::log::stop();
     }
 
     void start()
     {
-        net::log::parse_level("error", this->level);
         this->backend = std::make_unique<standin::server>(this->options);
         core::backend_server server;
         server.name = "logbook-1";
@@ -251,7 +261,6 @@
     }
 
     asio::steady_timer ticks{this->io};
-    net::log::level level{};
     std::thread thread;
 };
 
