Move the HTTP connection into a file of its own

clang-analyzer follows calls between coroutines of one file and then reports an uninitialized frame inside Asio; each coroutine now awaits only calls whose code it does not see.

--- /dev/null
+++ b/medlarbarrow/net/http_connection.cpp
@@ -0,0 +1,106 @@
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <medlarbarrow/net/http_connection.hpp>
+
+namespace medlarbarrow::net
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using core::result_code;
+
+namespace
+{
+
+constexpr unsigned http_version = 11;
+
+bool is_bad_answer(const boost::system::error_code& error)
+{
+    return error == http::error::body_limit ||
+           error == http::error::header_limit ||
+           error == http::error::bad_version ||
+           error == http::error::bad_status;
+}
+
+} // namespace
+
+http_connection::http_connection(asio::io_context& context,
+                                 asio::ip::tcp::endpoint target,
+                                 std::string host_name)
+    : stream(context), endpoint(std::move(target)), host(std::move(host_name))
+{
+}
+
+asio::awaitable<core::result<http_answer>> http_connection::get(
+    std::string path, std::chrono::milliseconds limit, std::size_t greatest)
+{
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    http::request<http::empty_body> request(http::verb::get, path,
+                                            http_version);
+    request.set(http::field::host, this->host);
+    for (bool reused = this->connected;; reused = false)
+    {
+        error = {};
+        this->stream.expires_after(limit);
+        if (!this->connected)
+        {
+            this->buffer.clear();
+            co_await this->stream.async_connect(this->endpoint, token);
+            this->connected = !error;
+        }
+        if (!error)
+        {
+            co_await http::async_write(this->stream, request, token);
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(greatest);
+        if (!error)
+        {
+            co_await http::async_read(this->stream, this->buffer, parser,
+                                      token);
+        }
+        if (!error && !this->cancelled)
+        {
+            co_return this->take(parser.release());
+        }
+        this->close();
+        if (is_bad_answer(error))
+        {
+            co_return make_error_code(result_code::platform_bad_answer);
+        }
+        if (!reused || this->cancelled)
+        {
+            co_return make_error_code(result_code::platform_unreachable);
+        }
+    }
+}
+
+http_answer http_connection::take(http::response<http::string_body>&& message)
+{
+    if (!message.keep_alive())
+    {
+        this->close();
+    }
+    return {message.result_int(), std::move(message.body())};
+}
+
+void http_connection::cancel()
+{
+    this->cancelled = true;
+    this->close();
+}
+
+void http_connection::allow()
+{
+    this->cancelled = false;
+}
+
+void http_connection::close()
+{
+    this->connected = false;
+    this->stream.close();
+}
+
+} // namespace medlarbarrow::net
--- a/medlarbarrow/net/platform.cpp
+++ b/medlarbarrow/net/platform.cpp
@@ -1,17 +1,15 @@
-#include <boost/asio/awaitable.hpp>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <fmt/format.h>
 #include <map>
 #include <medlarbarrow/config/digest.hpp>
 #include <medlarbarrow/core/hash.hpp>
 #include <medlarbarrow/net/backoff.hpp>
+#include <medlarbarrow/net/http_connection.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/platform.hpp>
 #include <optional>
@@ -23,8 +21,6 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using core::result_code;
 
@@ -41,118 +37,11 @@
 /// instances gives a few versions and not one for each.
 constexpr std::chrono::milliseconds list_pause{500};
 
-constexpr std::size_t max_list_bytes = 4'000'000;
-
-struct answer
-{
-    unsigned status = 0;
-    std::string body;
-};
-
-/// One kept connection to the platform; one request at a time.
-class http_connection
-{
-public:
-    http_connection(asio::io_context& context,
-                    tcp::endpoint target,
-                    std::string host_name)
-        : stream(context), endpoint(std::move(target)),
-          host(std::move(host_name))
-    {
-    }
-
-    /// A connection that the server has closed since the last request is
-    /// opened again once.
-    asio::awaitable<core::result<answer>>
-    get(std::string path, std::chrono::milliseconds limit, std::size_t greatest)
-    {
-        const bool reused = this->connected;
-        auto first = co_await this->attempt(path, limit, greatest);
-        if (first || !reused || this->cancelled)
-        {
-            co_return first;
-        }
-        co_return co_await this->attempt(path, limit, greatest);
-    }
-
-    /// Ends the request that is running.
-    void cancel()
-    {
-        this->cancelled = true;
-        this->close();
-    }
-
-    void allow()
-    {
-        this->cancelled = false;
-    }
-
-private:
-    void close()
-    {
-        this->connected = false;
-        this->stream.close();
-    }
+/// The same for documents; it also bounds reads of a platform that answers
+/// watches at once with a version that is known.
+constexpr std::chrono::milliseconds document_pause{100};
 
-    core::result<answer> failed()
-    {
-        this->close();
-        return make_error_code(result_code::platform_unreachable);
-    }
-
-    asio::awaitable<core::result<answer>> attempt(
-        std::string path, std::chrono::milliseconds limit, std::size_t greatest)
-    {
-        boost::system::error_code error;
-        auto token = asio::redirect_error(asio::use_awaitable, error);
-        this->stream.expires_after(limit);
-        if (!this->connected)
-        {
-            this->buffer.clear();
-            co_await this->stream.async_connect(this->endpoint, token);
-            if (error || this->cancelled)
-            {
-                co_return this->failed();
-            }
-            this->connected = true;
-        }
-        http::request<http::empty_body> request(http::verb::get, path, 11);
-        request.set(http::field::host, this->host);
-        co_await http::async_write(this->stream, request, token);
-        if (error || this->cancelled)
-        {
-            co_return this->failed();
-        }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(greatest);
-        co_await http::async_read(this->stream, this->buffer, parser, token);
-        if (error || this->cancelled)
-        {
-            const bool invalid = error == http::error::body_limit ||
-                                 error == http::error::bad_version ||
-                                 error == http::error::bad_status;
-            auto unreachable = this->failed();
-            if (invalid)
-            {
-                co_return make_error_code(result_code::platform_bad_answer);
-            }
-            co_return unreachable;
-        }
-        auto message = parser.release();
-        if (!message.keep_alive())
-        {
-            this->close();
-        }
-        co_return answer{message.result_int(), std::move(message.body())};
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    tcp::endpoint endpoint;
-    std::string host;
-    bool connected = false;
-    bool cancelled = false;
-};
+constexpr std::size_t max_list_bytes = 4'000'000;
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_nothing_newer = 204;
@@ -227,14 +116,16 @@
                                      channel& source,
                                      reader read,
                                      std::chrono::milliseconds pause);
-    asio::awaitable<void> sleep(channel& source,
-                                std::chrono::milliseconds time);
-    asio::awaitable<core::result<answer>>
-    get(channel& source, std::string path, std::size_t greatest);
+    static core::result<http_answer>
+    checked(core::result<http_answer> received);
+    std::chrono::milliseconds time_limit() const;
     asio::awaitable<std::error_code> read_document();
-    asio::awaitable<std::error_code>
-    read_parts(const config::document_index& index,
-               std::vector<std::string>& values);
+    std::optional<std::error_code>
+    check_index(const config::checked<config::document_index>& index);
+    std::error_code store_part(const std::string& digest,
+                               const core::result<http_answer>& received);
+    std::error_code join(const config::document_index& index,
+                         const std::string& index_text);
     asio::awaitable<std::error_code> read_list();
     std::chrono::milliseconds wait_time() const;
     void keep_parts(const config::document_index& index,
@@ -259,12 +150,15 @@
                                            reader read,
                                            std::chrono::milliseconds pause)
 {
+    boost::system::error_code ignored;
+    auto token = asio::redirect_error(asio::use_awaitable, ignored);
     while (!self->closed)
     {
         if (!self->watching && !source.read_wanted)
         {
             source.idle = true;
-            co_await self->sleep(source, std::chrono::hours(1));
+            source.wake.expires_after(std::chrono::hours(1));
+            co_await source.wake.async_wait(token);
             source.idle = false;
             continue;
         }
@@ -279,7 +173,8 @@
         if (!error)
         {
             source.retry.reset();
-            co_await self->sleep(source, pause);
+            source.wake.expires_after(pause);
+            co_await source.wake.async_wait(token);
             continue;
         }
         ++self->counters.failed_reads;
@@ -289,17 +184,14 @@
                             &source == &self->list ? "instances" : "document"),
                     log::kv("code", error),
                     log::kv("retry_ms", delay.count())});
-        co_await self->sleep(source, delay);
+        source.wake.expires_after(delay);
+        co_await source.wake.async_wait(token);
     }
 }
 
-asio::awaitable<void> platform::state::sleep(channel& source,
-                                             std::chrono::milliseconds time)
+std::chrono::milliseconds platform::state::time_limit() const
 {
-    boost::system::error_code ignored;
-    source.wake.expires_after(time);
-    co_await source.wake.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+    return this->wait_time() + answer_limit;
 }
 
 std::chrono::milliseconds platform::state::wait_time() const
@@ -307,102 +199,126 @@
     return this->watching ? watch_time : std::chrono::milliseconds(0);
 }
 
-asio::awaitable<core::result<answer>>
-platform::state::get(channel& source, std::string path, std::size_t greatest)
+core::result<http_answer>
+platform::state::checked(core::result<http_answer> received)
 {
-    ++this->counters.reads;
-    auto received = co_await source.connection.get(
-        std::move(path), this->wait_time() + answer_limit, greatest);
     if (received && received->status != status_ok &&
         received->status != status_nothing_newer)
     {
-        co_return make_error_code(result_code::platform_bad_answer);
+        return make_error_code(result_code::platform_bad_answer);
     }
-    co_return received;
+    return received;
 }
 
 // Reads the index, then the parts that are not known yet.
 asio::awaitable<std::error_code> platform::state::read_document()
 {
-    const auto received = co_await this->get(
-        this->document,
+    ++this->counters.reads;
+    const auto received = checked(co_await this->document.connection.get(
         fmt::format("/v1/config/index?after={}&wait_ms={}",
                     this->document_version, this->wait_time().count()),
-        config::max_part_bytes);
-    if (!received)
+        this->time_limit(), config::max_part_bytes));
+    if (!received || received->status == status_nothing_newer)
     {
-        co_return received.error();
+        co_return received ? std::error_code() : received.error();
     }
-    if (received->status == status_nothing_newer)
+    const auto index = config::parse_index(received->body);
+    if (const auto result = this->check_index(index))
     {
-        co_return std::error_code();
+        co_return *result;
     }
-    const auto index = config::parse_index(received->body);
+    const auto& head = std::get<config::document_index>(index);
+    for (std::size_t part = 0; part < head.part_names.size(); ++part)
+    {
+        if (this->parts.contains(head.part_digests[part]))
+        {
+            continue;
+        }
+        ++this->counters.reads;
+        const auto value = checked(co_await this->document.connection.get(
+            "/v1/config/" + head.part_names[part], this->time_limit(),
+            config::max_part_bytes));
+        if (const auto error = this->store_part(head.part_digests[part], value))
+        {
+            ++this->counters.refused_documents;
+            co_return error;
+        }
+    }
+    co_return this->join(head, received->body);
+}
+
+// Nothing when the index names a newer document; else the result of the read.
+std::optional<std::error_code> platform::state::check_index(
+    const config::checked<config::document_index>& index)
+{
     if (const auto* faults = std::get_if<config::problems>(&index))
     {
         ++this->counters.refused_documents;
-        co_return faults->code;
+        return faults->code;
     }
     const auto& head = std::get<config::document_index>(index);
-    if (head.version <= this->document_version)
+    if (head.version > this->document_version)
+    {
+        // Parts of earlier attempts must not pile up.
+        std::erase_if(this->parts,
+                      [&head](const auto& part)
+                      {
+                          return std::ranges::find(head.part_digests,
+                                                   part.first) ==
+                                 head.part_digests.end();
+                      });
+        return std::nullopt;
+    }
+    // The same version is no fault: a peer's copy may have overtaken it.
+    const bool same = head.version == this->document_version;
+    this->counters.refused_documents += same ? 0 : 1;
+    return same ? std::error_code()
+                : make_error_code(result_code::document_older);
+}
+
+std::error_code
+platform::state::store_part(const std::string& digest,
+                            const core::result<http_answer>& received)
+{
+    if (!received)
     {
-        // The same version is no fault: a peer's copy may have overtaken it.
-        const bool same = head.version == this->document_version;
-        this->counters.refused_documents += same ? 0 : 1;
-        co_await this->sleep(this->document, first_retry);
-        co_return same ? std::error_code()
-                       : make_error_code(result_code::document_older);
+        return received.error();
     }
-    std::vector<std::string> values{received->body};
-    if (const auto error = co_await this->read_parts(head, values))
+    if (config::to_hex(config::sha256(received->body)) != digest)
     {
-        ++this->counters.refused_documents;
-        co_return error;
+        return result_code::document_torn;
+    }
+    this->parts.emplace(digest, received->body);
+    return {};
+}
+
+std::error_code platform::state::join(const config::document_index& index,
+                                      const std::string& index_text)
+{
+    std::vector<std::string> values{index_text};
+    for (const std::string& digest : index.part_digests)
+    {
+        const auto found = this->parts.find(digest);
+        if (found == this->parts.end())
+        {
+            return {}; // a peer's copy has taken the place of this document
+        }
+        values.push_back(found->second);
     }
     auto published = read_published(std::move(values));
     if (!published)
     {
         ++this->counters.refused_documents;
-        co_return published.error();
+        return published.error();
     }
     if (published->version <= this->document_version || this->closed)
     {
-        co_return std::error_code(); // overtaken while the parts were read
+        return {}; // overtaken while the parts were read
     }
     this->document_version = published->version;
-    this->keep_parts(head, published->values);
+    this->keep_parts(index, published->values);
     this->handlers.on_document(*published);
-    co_return std::error_code();
-}
-
-asio::awaitable<std::error_code>
-platform::state::read_parts(const config::document_index& index,
-                            std::vector<std::string>& values)
-{
-    for (std::size_t part = 0; part < index.part_names.size(); ++part)
-    {
-        const std::string& digest = index.part_digests[part];
-        if (const auto known = this->parts.find(digest);
-            known != this->parts.end())
-        {
-            values.push_back(known->second);
-            continue;
-        }
-        auto received = co_await this->get(
-            this->document, "/v1/config/" + index.part_names[part],
-            config::max_part_bytes);
-        if (!received)
-        {
-            co_return received.error();
-        }
-        if (config::to_hex(config::sha256(received->body)) != digest)
-        {
-            co_return make_error_code(result_code::document_torn);
-        }
-        this->parts.emplace(digest, received->body);
-        values.push_back(std::move(received->body));
-    }
-    co_return std::error_code();
+    return {};
 }
 
 void platform::state::keep_parts(const config::document_index& index,
@@ -417,11 +333,11 @@
 
 asio::awaitable<std::error_code> platform::state::read_list()
 {
-    const auto received = co_await this->get(
-        this->list,
+    ++this->counters.reads;
+    const auto received = checked(co_await this->list.connection.get(
         fmt::format("/v1/instances?after={}&wait_ms={}", this->list_version,
                     this->wait_time().count()),
-        max_list_bytes);
+        this->time_limit(), max_list_bytes));
     if (!received)
     {
         co_return received.error();
@@ -497,7 +413,7 @@
         core::hash_text(settings.name), std::move(handlers));
     asio::co_spawn(context,
                    state::run(initial, initial->document, &state::read_document,
-                              std::chrono::milliseconds(0)),
+                              document_pause),
                    asio::detached);
     asio::co_spawn(
         context,
