Decide who watches the platform and how versions reach all instances

Two instances of each data centre watch; the next in the order take over when they are silent. A property test with lost, late and repeated messages, cuts, stops and restarts holds: versions only rise and all converge.

--- /dev/null
+++ b/tests/spread_test.cpp
@@ -0,0 +1,229 @@
+#include <gtest/gtest.h>
+#include <medlarbarrow/core/result_codes.hpp>
+#include <rapidcheck.h>
+#include <standin/spread_fleet.hpp>
+
+using namespace medlarbarrow;
+using namespace std::chrono_literals;
+using standin::spread_fleet;
+
+namespace
+{
+
+/// One random fault or change, then some time.
+void disturb(spread_fleet& fleet)
+{
+    const auto any = [&fleet]
+    {
+        return *rc::gen::inRange<std::size_t>(0, fleet.size());
+    };
+    switch (*rc::gen::inRange(0, 9))
+    {
+    case 0:
+        fleet.publish_document();
+        break;
+    case 1:
+        fleet.publish_list({any(), any()}, {any()});
+        break;
+    case 2:
+        fleet.restart(any());
+        break;
+    case 3:
+        fleet.stop(any(), true);
+        break;
+    case 4:
+        fleet.faults.cuts.insert({any(), any()});
+        break;
+    case 5:
+        fleet.faults.loss = *rc::gen::inRange(0, 50) / 100.0;
+        fleet.faults.repeat = *rc::gen::inRange(0, 50) / 100.0;
+        break;
+    case 6:
+        fleet.faults.greatest_delay =
+            std::chrono::milliseconds(*rc::gen::inRange(1, 4000));
+        break;
+    case 7:
+        fleet.faults.platform_away = !fleet.faults.platform_away;
+        break;
+    default:
+        break;
+    }
+    fleet.run(std::chrono::milliseconds(*rc::gen::inRange(50, 8000)));
+}
+
+void end_faults(spread_fleet& fleet)
+{
+    fleet.faults = {};
+    for (std::size_t instance = 0; instance < fleet.size(); ++instance)
+    {
+        fleet.stop(instance, false);
+    }
+    fleet.publish_list();
+}
+
+/// 60 instances in four data centres that have settled.
+class settled_fleet : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(this->fleet.run_until_equal(20s));
+        this->fleet.run(10s);
+    }
+
+    /// Instances that watch the platform now.
+    std::set<std::size_t> watchers()
+    {
+        std::set<std::size_t> found;
+        for (std::size_t instance = 0; instance < this->fleet.size();
+             ++instance)
+        {
+            const std::size_t all = this->fleet.watching();
+            this->fleet.stop(instance, true);
+            if (this->fleet.watching() < all)
+            {
+                found.insert(instance);
+            }
+            this->fleet.stop(instance, false);
+        }
+        return found;
+    }
+
+    spread_fleet fleet{{60, 4, 8, 64, 7}};
+};
+
+} // namespace
+
+// Guards against any order of faults after which an instance goes back to an
+// older version, or stays behind when the faults are over.
+TEST(spread, versions_only_rise_and_all_converge_after_the_faults)
+{
+    const bool holds = rc::check(
+        "versions rise and converge",
+        []
+        {
+            spread_fleet fleet({*rc::gen::inRange<std::size_t>(2, 20),
+                                *rc::gen::inRange<std::size_t>(1, 4), 4, 16,
+                                *rc::gen::arbitrary<std::uint64_t>()});
+            const int disturbances = *rc::gen::inRange(1, 25);
+            for (int count = 0; count < disturbances; ++count)
+            {
+                disturb(fleet);
+                RC_ASSERT(!fleet.has_reverted());
+            }
+            end_faults(fleet);
+            RC_ASSERT(fleet.run_until_equal(60s));
+            fleet.publish_document();
+            RC_ASSERT(fleet.run_until_equal(12s));
+            RC_ASSERT(!fleet.has_reverted());
+        });
+    EXPECT_TRUE(holds);
+}
+
+// Guards against a fleet in which every instance reads the platform, and
+// against a data centre without a watcher.
+TEST_F(settled_fleet, has_two_watchers_in_each_data_centre)
+{
+    EXPECT_EQ(this->fleet.watching(), 8U);
+    std::map<std::size_t, int> by_data_centre;
+    for (const std::size_t instance : this->watchers())
+    {
+        ++by_data_centre[instance % 4];
+    }
+    EXPECT_EQ(by_data_centre,
+              (std::map<std::size_t, int>{{0, 2}, {1, 2}, {2, 2}, {3, 2}}));
+}
+
+// Guards against changes that stop when all watchers end at once while the
+// list still names them.
+TEST_F(settled_fleet, replaces_all_its_watchers_when_they_end)
+{
+    for (const std::size_t instance : this->watchers())
+    {
+        this->fleet.stop(instance, true);
+    }
+    EXPECT_EQ(this->fleet.watching(), 0U);
+    this->fleet.publish_document();
+    EXPECT_TRUE(this->fleet.run_until_equal(12s));
+    this->fleet.run(10s);
+    EXPECT_EQ(this->fleet.watching(), 8U);
+}
+
+// Guards against an instance that cannot join while the platform is away.
+TEST_F(settled_fleet, gives_a_joining_instance_everything_without_the_platform)
+{
+    this->fleet.faults.platform_away = true;
+    this->fleet.restart(33);
+    EXPECT_EQ(this->fleet.document_version(33), 0U);
+    EXPECT_TRUE(this->fleet.run_until_equal(12s));
+}
+
+// Guards against one instance that sends the document to all others.
+TEST_F(settled_fleet, relays_a_change_with_few_copies_from_each)
+{
+    std::map<std::size_t, std::size_t> copies;
+    std::size_t bytes = 0;
+    this->fleet.on_send =
+        [&copies, &bytes](std::size_t from, const core::outgoing& item)
+    {
+        const auto* part = std::get_if<core::document_part>(&item.message);
+        if (part != nullptr)
+        {
+            copies[from] += part->index == 0 ? 1 : 0;
+            bytes += part->text.size();
+        }
+    };
+    this->fleet.publish_document();
+    ASSERT_TRUE(this->fleet.run_until_equal(12s));
+    std::size_t all = 0;
+    for (const auto& [instance, count] : copies)
+    {
+        EXPECT_LE(count, 10U) << instance;
+        all += count;
+    }
+    // 52 instances do not watch; unchanged parts travel as empty text.
+    EXPECT_LE(all, 60U);
+    EXPECT_LE(bytes, all * (64 + 64));
+}
+
+// Guards against lists that differ by a damaged or misapplied difference.
+TEST(list_text, of_any_base_gives_the_list_or_nothing)
+{
+    const auto list = [](std::uint64_t version, std::vector<int> numbers)
+    {
+        core::instance_list made{version, {}};
+        for (const int number : numbers)
+        {
+            made.instances.push_back({"entry-" + std::to_string(number),
+                                      "10.0.0.1", 7000, "dc", "r",
+                                      number % 3 == 0});
+        }
+        return made;
+    };
+    const auto first = list(1, {1, 2, 3});
+    const auto second = list(2, {2, 3, 4});
+    const auto third = list(3, {1, 2, 3, 4, 5});
+    core::list_history history;
+    history.add(first, second);
+    history.add(second, third);
+    const std::string change = history.text_since(1, third);
+    EXPECT_LT(change.size(), history.text_since(9, third).size());
+    const auto applied = core::read_list_text(3, change, first);
+    ASSERT_TRUE(applied);
+    EXPECT_EQ(applied->instances.size(), 5U);
+    EXPECT_FALSE(core::read_list_text(3, change, list(1, {1, 2, 3, 7})));
+    EXPECT_TRUE(core::read_list_text(3, history.text_since(0, third), {}));
+    const bool total =
+        rc::check("damaged text",
+                  [&change, &first]
+                  {
+                      std::string text = change;
+                      const auto at =
+                          *rc::gen::inRange<std::size_t>(0, text.size());
+                      const char letter = *rc::gen::arbitrary<char>();
+                      RC_PRE(text[at] != letter);
+                      text[at] = letter;
+                      RC_ASSERT(!core::read_list_text(3, text, first));
+                  });
+    EXPECT_TRUE(total);
+}
