--- a/standin/spread_fleet.hpp
+++ b/standin/spread_fleet.hpp
@@ -21,6 +21,7 @@
     double repeat = 0.0; ///< fraction that arrives twice
     core::duration greatest_delay = std::chrono::milliseconds(4);
     bool platform_away = false;
+    bool platform_old = false; ///< shows the versions before the newest
     /// Messages from the first to the second instance are lost.
     std::set<std::pair<std::size_t, std::size_t>> cuts;
 };
@@ -35,6 +36,10 @@
         std::size_t parts = 4;
         std::size_t part_bytes = 16;
         std::uint64_t seed = 1;
+        /// Bytes of the index for each part.
+        std::size_t index_bytes = 0;
+        /// If not 0, only the first part changes, and has this size.
+        std::size_t changed_bytes = 0;
     };
 
     explicit spread_fleet(const shape& wanted);
@@ -109,6 +114,8 @@
     std::multimap<core::time_point, delivery> in_flight;
     std::shared_ptr<const core::document_copy> document;
     core::instance_list list;
+    std::shared_ptr<const core::document_copy> old_document;
+    core::instance_list old_list;
     bool reverted = false;
 };
 
