Check ownership under random faults and fix five faults of its review

Each test failed first: - before a document was in force N counted as 1, so that an instance held a majority alone; now it delegates nothing until it knows N; - a release freed a bucket after the bare grant lease; tokens of an entry instance whose clock is 1% slow still counted for up to 20 ms; - a smaller N dated a new majority back to the last tick, so that orders of another home in between were taken for known; - a late release of an earlier run made a departed run a candidate again; - entries of departed instances were never dropped. The property drives up to seven processes through loss, repeats, delays, cuts, partitions, pauses, drift, restarts, doubles of a name and replacement of half the fleet: 100 cases pass. It found that the nonces of solicitations must be remembered per run: with a double of a name gone, the surviving older run was ignored for good.

--- a/medlarbarrow/core/limits.cpp
+++ b/medlarbarrow/core/limits.cpp
@@ -14,9 +14,6 @@
 /// Absorbs rounding where sums of tokens are compared.
 constexpr double token_epsilon = 1e-6;
 
-/// Clock rates of two instances differ by less than one part in this many.
-constexpr int drift_divisor = 100;
-
 /// An unmet want reserves tokens this long. Longer than the greatest wait of a
 /// request, so that an instance that still waits keeps its turn.
 constexpr duration unmet_period = milliseconds(300);
@@ -313,7 +310,7 @@
                            time_point now)
 {
     const duration lease = owners.times().grant_lease;
-    const duration hold = lease + lease / drift_divisor;
+    const duration hold = owners.times().grant_hold();
     token_grant answer{request.nonce, lease, {}};
     bool answered = request.wants.empty();
     for (const token_want& want : request.wants)
--- a/medlarbarrow/core/ownership.cpp
+++ b/medlarbarrow/core/ownership.cpp
@@ -21,7 +21,7 @@
 /// Clock rates of two instances differ by less than one part in this many.
 constexpr int drift_divisor = 100;
 
-/// The newest solicitation of an instance that left the list is remembered this
+/// The newest solicitation of a run that has gone silent is remembered this
 /// long, far beyond the delay of any message.
 constexpr duration request_memory = std::chrono::minutes(10);
 
@@ -72,6 +72,11 @@
     return hold + hold / drift_divisor;
 }
 
+duration lease_times::grant_hold() const noexcept
+{
+    return this->grant_lease + this->grant_lease / drift_divisor;
+}
+
 ownership::ownership(instance_id self_id, time_point started_at)
     : self(std::move(self_id)), started(started_at),
       last_nonce(this->self.incarnation << incarnation_shift),
@@ -105,22 +110,33 @@
                   {
                       return !listed(name);
                   });
-    std::erase_if(this->newest_requests,
+    std::erase_if(this->departed,
                   [&](const auto& item)
                   {
                       return !listed(item.first) &&
-                             now - item.second.at > request_memory;
+                             item.first != this->self.name;
+                  });
+    std::erase_if(this->newest_requests,
+                  [&](const auto& item)
+                  {
+                      return now - item.second.at > request_memory;
                   });
     this->choose_candidates(now);
 }
 
+// Times follow N and not the list: a new process must wait out the lease of its
+// predecessor, whose list may have been longer. Majorities start anew with the
+// next tick, which knows the time.
 void ownership::set_max_instances(std::uint32_t max_instances)
 {
-    this->instance_limit = std::max<std::uint32_t>(max_instances, 1);
-    // Times follow N and not the list: a new process must wait out the lease
-    // of its predecessor, whose list may have been longer.
-    this->lease_periods = lease_times::for_fleet(this->instance_limit);
-    this->update_majorities(~bucket_set{0}, this->last_tick);
+    const std::uint32_t next = std::max<std::uint32_t>(max_instances, 1);
+    if (next == this->instance_limit)
+    {
+        return;
+    }
+    this->instance_limit = next;
+    this->lease_periods = lease_times::for_fleet(next);
+    this->majorities = {};
 }
 
 // Finds the candidate of each bucket. A changed candidate gets a new grace
@@ -208,10 +224,10 @@
 }
 
 // A new process waits until the delegations of an earlier process of this
-// instance have expired.
+// instance have expired, and until it knows N.
 bool ownership::may_delegate(time_point now) const
 {
-    return !this->released &&
+    return !this->released && this->instance_limit > 0 &&
            now >= this->started + this->lease_periods.delegator_hold();
 }
 
@@ -305,7 +321,7 @@
 {
     // A solicitation that was overtaken by a newer one is stale: answering it
     // would tie the buckets to a home that may be gone.
-    seen_request& newest = this->newest_requests[from.name];
+    seen_request& newest = this->newest_requests[from];
     if (request.nonce <= newest.solicitation)
     {
         return {};
@@ -379,11 +395,12 @@
                 current.released ||
                 (now < current.ends && current.first <= release.answered);
             current.ends =
-                std::min(current.ends, now + this->lease_periods.grant_lease);
+                std::min(current.ends, now + this->lease_periods.grant_hold());
         }
     }
     // The next candidate starts without waiting for the list.
-    this->departed[from.name] = from.incarnation;
+    std::uint64_t& departed_run = this->departed[from.name];
+    departed_run = std::max(departed_run, from.incarnation);
     this->choose_candidates(now);
 }
 
@@ -450,6 +467,10 @@
 
 double ownership::share(bucket_id bucket, time_point now) const
 {
+    if (this->instance_limit == 0)
+    {
+        return 0.0;
+    }
     const std::uint32_t held =
         std::min(this->delegations(bucket, now), this->instance_limit);
     return static_cast<double>(held) / this->instance_limit;
@@ -518,7 +539,7 @@
     }
     majority& current = this->majorities[bucket];
     const std::size_t needed = this->majority_size();
-    if (ends.size() < needed)
+    if (this->instance_limit == 0 || ends.size() < needed)
     {
         current = {};
         return;
--- a/medlarbarrow/core/ownership.hpp
+++ b/medlarbarrow/core/ownership.hpp
@@ -28,6 +28,11 @@
     /// How long a delegator keeps a delegation after its answer. Covers the
     /// lease, the grants issued under it and 1% of clock rate drift.
     duration delegator_hold() const noexcept;
+
+    /// How long granted tokens count after the grant: the grant lease and 1%
+    /// of clock rate drift, because the instance that holds them counts the
+    /// lease on its own clock.
+    duration grant_hold() const noexcept;
 };
 
 /// Both sides of the protocol for one instance: delegator and home.
@@ -40,7 +45,11 @@
     /// candidate any more; delegations to it stand until they expire.
     void set_members(const std::vector<std::string>& live, time_point now);
 
-    /// Sets N, the greatest number of instances that may run at once.
+    /// Sets N, the greatest number of instances that may run at once. Before
+    /// the first call this instance delegates nothing. Operators lower N only
+    /// after the fleet has shrunk, and start more instances only after a
+    /// greater N is in force everywhere: instances that disagree about N are
+    /// safe only while no more run than the least N in force.
     void set_max_instances(std::uint32_t max_instances);
 
     /// Sends due solicitations, renews the delegations to itself and suspects
@@ -149,7 +158,7 @@
         std::array<time_point, bucket_count> held_since{};
     };
 
-    /// Newest solicitation of an instance.
+    /// Newest solicitation of one run of an instance.
     struct seen_request
     {
         nonce solicitation = 0;
@@ -179,7 +188,7 @@
     instance_id self;
     time_point started;
     lease_times lease_periods;
-    std::uint32_t instance_limit = 1;
+    std::uint32_t instance_limit = 0; ///< N; 0: not known yet
     std::vector<std::string> members;
     std::set<std::string> suspected;
     /// Incarnation of each instance that has given its delegations back.
@@ -193,7 +202,7 @@
     std::uint64_t changes = 1;
     std::array<majority, bucket_count> majorities;
     std::map<std::string, peer_state> peers;
-    std::map<std::string, seen_request> newest_requests;
+    std::map<instance_id, seen_request> newest_requests;
     nonce last_nonce = 0;
     time_point last_tick{};
     bool released = false;
