--- a/medlarbarrow/core/crashes.hpp
+++ b/medlarbarrow/core/crashes.hpp
@@ -2,7 +2,6 @@
 /// docs/design.md, section 2.6.
 #pragma once
 
-#include <map>
 #include <medlarbarrow/core/messages.hpp>
 #include <medlarbarrow/core/ownership.hpp>
 #include <optional>
@@ -23,8 +22,21 @@
 /// keeps. The entry that expires first makes room.
 constexpr std::size_t crash_suspect_limit = 4096;
 
+/// Reporters of one suspect that get its verdict; the oldest makes room.
+constexpr std::size_t crash_reporter_limit = 64;
+
 /// How long one permitted retry of a suspect holds back other retries of it.
-constexpr duration crash_permit_lease = std::chrono::seconds(10);
+/// A retry that runs longer could meet a third server unnoticed.
+constexpr duration crash_permit_lease = std::chrono::seconds(30);
+
+/// For hash tables: a digest is already evenly spread.
+struct digest_hash
+{
+    std::size_t operator()(const digest& value) const noexcept
+    {
+        return static_cast<std::size_t>(value.high);
+    }
+};
 
 /// The home side.
 class crash_home
@@ -32,14 +44,17 @@
 public:
     /// Counts a report and answers it; once the request is blocked every
     /// reporter gets the verdict. `blocked == false` permits the reporter one
-    /// more server. Empty without a majority for the digest's bucket.
+    /// more server; a block with a zero lease denies the retry only, because
+    /// another reporter's retry of the request may still run. The same nonce
+    /// gets the same answer. Empty without a majority for the digest's bucket.
     outbox receive(const instance_id& from,
                    const crash_report& report,
                    const ownership& owners,
                    time_point now);
 
     /// Blocks in force, for the instances that have not reported; at most
-    /// `limit`, the newest first. Send them with the delegation round.
+    /// `limit`, those that last longest first. Send them with the delegation
+    /// round.
     std::vector<crash_verdict> blocked(std::size_t limit, time_point now) const;
 
     /// Forgets expired entries and buckets without a majority.
@@ -52,7 +67,7 @@
     {
         std::string instance;
         nonce newest = 0;
-        bool permitted = false; ///< answer to that nonce
+        crash_verdict answer; ///< to that nonce
     };
 
     struct suspect
@@ -65,10 +80,13 @@
         bool blocked = false;
     };
 
-    reporter& reporter_of(suspect& in, const std::string& instance);
-    void make_room();
+    static reporter& reporter_of(suspect& in, const std::string& instance);
+    static crash_verdict
+    decide(suspect& in, const std::string& instance, time_point now);
+    static void note_server(suspect& in, const std::string& server);
+    suspect& entry_of(const digest& request);
 
-    std::map<digest, suspect> entries;
+    std::unordered_map<digest, suspect, digest_hash> entries;
 };
 
 /// The entry side: digests it must not send to any server.
@@ -78,7 +96,7 @@
     explicit crash_blocks(nonce first_nonce);
 
     /// Report of a connection that ended without an answer; send it to the
-    /// home of bucket_of(request).
+    /// home of bucket_of(request), and again while no verdict arrives.
     crash_report report(const digest& request,
                         const std::string& service,
                         const std::string& server,
@@ -102,11 +120,9 @@
         time_point at{};
     };
 
-    void make_room();
-
     nonce last_nonce = 0;
-    std::map<digest, time_point> blocks;
-    std::map<digest, asked> questions;
+    std::unordered_map<digest, time_point, digest_hash> blocks;
+    std::unordered_map<digest, asked, digest_hash> questions;
 };
 
 } // namespace medlarbarrow::core
--- a/medlarbarrow/core/retries.hpp
+++ b/medlarbarrow/core/retries.hpp
@@ -52,7 +52,6 @@
 {
     bool repeatable = false;
     attempt_end end = attempt_end::answered;
-    unsigned status = 0;          ///< of the answer
     std::uint32_t attempt = 1;    ///< number of the attempt that ended
     bool crash_permitted = false; ///< the home has permitted another server
     time_point deadline{};
