--- a/medlarbarrow/core/crashes.cpp
+++ b/medlarbarrow/core/crashes.cpp
@@ -87,7 +87,7 @@
         verdict.lease = crash_lifetime;
         return verdict;
     }
-    if (false)
+    if (in.permit_until > now && in.permit_holder != instance)
     {
         verdict.blocked = true;
         return verdict;
