--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -212,7 +212,7 @@
                        },
                        [&](std::shared_ptr<const core::document>& item)
                        {
-                           this->callers->apply_document(item);
+                           this->callers->apply_document(*item);
                            this->node.apply_document(std::move(item), now);
                        },
                        [&](core::instance_list& item)
