--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -139,6 +139,9 @@
     }
     if (!request.matched->repeatable)
     {
+        // The claim comes before all that may refuse the order: only its home
+        // knows whether an earlier request with the same key has run.
+        request.phase = request_phase::claim;
         request.refusal = this->check_order_key(request);
     }
     const std::chrono::milliseconds limit = request.matched->deadline;
@@ -203,7 +206,7 @@
 {
     if (request.account.empty())
     {
-        request.phase = request_phase::claim;
+        request.phase = request_phase::admission;
         return std::nullopt;
     }
     if (!request.token_asked)
@@ -216,7 +219,7 @@
     switch (spent.kind)
     {
     case spend_kind::granted:
-        request.phase = request_phase::claim;
+        request.phase = request_phase::admission;
         return std::nullopt;
     case spend_kind::wait:
         if (now.monotonic >= request.deadline)
@@ -234,14 +237,15 @@
 }
 
 // Asks the home of the order's identity until it answers. The nonce stays the
-// same for one home, so that a repeated claim gets the same verdict.
+// same, so that a repeated claim gets the same verdict. Without an answer the
+// outcome is unknown: an earlier request with the same key may have run.
 std::optional<step>
 node::state::claim_order(request_state& request, instant now, outbox& out)
 {
     claim_state& claim = request.claim;
-    if (request.matched->repeatable || claim.granted)
+    if (claim.granted)
     {
-        request.phase = request_phase::admission;
+        request.phase = request_phase::limit;
         return std::nullopt;
     }
     if (claim.verdict)
@@ -250,8 +254,8 @@
     }
     if (now.monotonic >= request.deadline)
     {
-        return this->refuse(request, result_code::order_home_unreachable,
-                            retry_later);
+        return step_refuse{result_code::order_home_unreachable, true,
+                           retry_later};
     }
     const std::string& home = this->owners.home_of(bucket_of(claim.identity));
     if (!home.empty() && (now.monotonic >= claim.resend || home != claim.home))
--- a/medlarbarrow/core/node_state.hpp
+++ b/medlarbarrow/core/node_state.hpp
@@ -26,8 +26,8 @@
 /// Where a request stands.
 enum class request_phase
 {
-    limit,     ///< needs a token of its account
     claim,     ///< an order needs the verdict of its home
+    limit,     ///< needs a token of its account
     admission, ///< not yet in the queue of its service
     queued,
     ready,   ///< admitted: may be sent
--- a/medlarbarrow/core/orders.cpp
+++ b/medlarbarrow/core/orders.cpp
@@ -179,10 +179,16 @@
                                          wall_time created,
                                          instant now) const
 {
-    if (created > now.wall + this->clock_skew)
+    // An earlier home whose clock is ahead by the skew may have accepted what
+    // this one finds early; only beyond twice the skew is "not run" true.
+    if (created > now.wall + 2 * this->clock_skew)
     {
         return order_verdict_kind::in_future;
     }
+    if (created > now.wall + this->clock_skew)
+    {
+        return order_verdict_kind::in_progress;
+    }
     const bool too_old = created < now.wall - this->window;
     if (too_old || created <= bucket.knowledge_start + 2 * this->clock_skew)
     {
