--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -273,7 +273,7 @@
 {
     caller hotel(this->port());
     hotel.raw().set_option(asio::socket_base::receive_buffer_size(65536));
-    const std::uint64_t before = resident_bytes();
+    [[maybe_unused]] const std::uint64_t before = resident_bytes();
     hotel.send(get("/reports/1?bytes=" + std::to_string(large)));
     std::uint64_t sent = 0;
     int unchanged = 0;
