--- a/medlarbarrow/net/http_connection.cpp
+++ b/medlarbarrow/net/http_connection.cpp
@@ -1,3 +1,5 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -32,8 +34,21 @@
 {
 }
 
-asio::awaitable<core::result<http_answer>> http_connection::get(
-    std::string path, std::chrono::milliseconds limit, std::size_t greatest)
+void http_connection::get(std::string path,
+                          std::chrono::milliseconds limit,
+                          std::size_t greatest,
+                          answer_handler done)
+{
+    asio::co_spawn(
+        this->stream.get_executor(),
+        this->exchange(std::move(path), limit, greatest, std::move(done)),
+        asio::detached);
+}
+
+asio::awaitable<void> http_connection::exchange(std::string path,
+                                                std::chrono::milliseconds limit,
+                                                std::size_t greatest,
+                                                answer_handler done)
 {
     boost::system::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -63,16 +78,19 @@
         }
         if (!error && !this->cancelled)
         {
-            co_return this->take(parser.release());
+            done(this->take(parser.release()));
+            co_return;
         }
         this->close();
         if (is_bad_answer(error))
         {
-            co_return make_error_code(result_code::platform_bad_answer);
+            done(make_error_code(result_code::platform_bad_answer));
+            co_return;
         }
         if (!reused || this->cancelled)
         {
-            co_return make_error_code(result_code::platform_unreachable);
+            done(make_error_code(result_code::platform_unreachable));
+            co_return;
         }
     }
 }
--- a/medlarbarrow/net/http_connection.hpp
+++ b/medlarbarrow/net/http_connection.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <functional>
 #include <medlarbarrow/core/result_codes.hpp>
 #include <medlarbarrow/core/types.hpp>
 #include <string>
@@ -30,19 +31,27 @@
                     boost::asio::ip::tcp::endpoint target,
                     std::string host_name);
 
+    using answer_handler =
+        std::function<void(core::result<http_answer> answer)>;
+
     /// Reads a path. A connection that the server has closed since the last
     /// request is opened again once. Errors: platform_unreachable,
-    /// platform_bad_answer (no HTTP, or a body above `greatest`).
-    boost::asio::awaitable<core::result<http_answer>>
-    get(std::string path,
-        std::chrono::milliseconds limit,
-        std::size_t greatest);
+    /// platform_bad_answer (no HTTP, or a body above `greatest`). The
+    /// connection must exist until the handler has been called.
+    void get(std::string path,
+             std::chrono::milliseconds limit,
+             std::size_t greatest,
+             answer_handler done);
 
     /// Ends the request that is running, and refuses others until allow().
     void cancel();
     void allow();
 
 private:
+    boost::asio::awaitable<void> exchange(std::string path,
+                                          std::chrono::milliseconds limit,
+                                          std::size_t greatest,
+                                          answer_handler done);
     http_answer
     take(boost::beast::http::response<boost::beast::http::string_body>&&
              message);
--- a/medlarbarrow/net/platform.cpp
+++ b/medlarbarrow/net/platform.cpp
@@ -1,9 +1,5 @@
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <map>
 #include <medlarbarrow/config/digest.hpp>
@@ -79,54 +75,79 @@
     return published_document{version, std::move(values), std::move(document)};
 }
 
-struct platform::state
+struct platform::state : std::enable_shared_from_this<platform::state>
 {
+    using reader = void (state::*)();
+
     /// A value that is read or watched, on its own connection.
     struct channel
     {
         channel(asio::io_context& context,
                 const tcp::endpoint& endpoint,
                 const std::string& host,
-                std::uint64_t seed)
-            : connection(context, endpoint, host), wake(context),
-              retry(first_retry, last_retry, seed)
+                std::uint64_t seed,
+                reader start,
+                std::chrono::milliseconds after_success)
+            : connection(context, endpoint, host), timer(context),
+              retry(first_retry, last_retry, seed), read(start),
+              pause(after_success)
         {
         }
 
         http_connection connection;
-        asio::steady_timer wake; ///< cancelled to wake the idle loop
+        asio::steady_timer timer; ///< pause before the next read
         backoff retry;
+        reader read;
+        std::chrono::milliseconds pause;
         bool read_wanted = false;
-        bool idle = false;
+        bool idle = true;
+        bool was_watching = false; ///< when the running read began
     };
 
-    using reader = asio::awaitable<std::error_code> (state::*)();
+    /// A document of which parts are being read.
+    struct pending_document
+    {
+        config::document_index index;
+        std::string index_text;
+        std::size_t next = 0;
+    };
 
     state(asio::io_context& context,
           const tcp::endpoint& endpoint,
           const std::string& host,
           std::uint64_t seed,
           platform_handlers given)
-        : handlers(std::move(given)), document(context, endpoint, host, seed),
-          list(context, endpoint, host, seed + 1)
-    {
-    }
-
-    static asio::awaitable<void> run(std::shared_ptr<state> self,
-                                     channel& source,
-                                     reader read,
-                                     std::chrono::milliseconds pause);
+        : handlers(std::move(given)), document(context,
+                                               endpoint,
+                                               host,
+                                               seed,
+                                               &state::read_document,
+                                               document_pause),
+          list(context, endpoint, host, seed + 1, &state::read_list, list_pause)
+    {
+    }
+
+    void next(channel& source);
+    void finish(channel& source, std::error_code error);
+    void fetch(channel& source,
+               std::string path,
+               std::size_t greatest,
+               void (state::*done)(http_answer&&));
     static core::result<http_answer>
     checked(core::result<http_answer> received);
     std::chrono::milliseconds time_limit() const;
-    asio::awaitable<std::error_code> read_document();
+    void read_document();
+    void take_index(http_answer&& received);
+    void read_parts();
+    void take_part(http_answer&& received);
     std::optional<std::error_code>
     check_index(const config::checked<config::document_index>& index);
-    std::error_code store_part(const std::string& digest,
-                               const core::result<http_answer>& received);
     std::error_code join(const config::document_index& index,
                          const std::string& index_text);
-    asio::awaitable<std::error_code> read_list();
+    void read_list();
+    void take_list(http_answer&& received);
+    std::error_code
+    check_list(const config::checked<core::instance_list>& parsed) const;
     std::chrono::milliseconds wait_time() const;
     void keep_parts(const config::document_index& index,
                     const std::vector<std::string>& values);
@@ -135,6 +156,7 @@
     platform_handlers handlers;
     platform_counters counters;
     channel document;
+    pending_document pending;
     channel list;
     std::uint64_t document_version = 0;
     std::uint64_t list_version = 0;
@@ -144,49 +166,80 @@
     bool closed = false;
 };
 
-// Reads or watches one value until the client is closed.
-asio::awaitable<void> platform::state::run(std::shared_ptr<state> self,
-                                           channel& source,
-                                           reader read,
-                                           std::chrono::milliseconds pause)
+// Starts a read or a watch, or waits until one is wanted.
+void platform::state::next(channel& source)
 {
-    boost::system::error_code ignored;
-    auto token = asio::redirect_error(asio::use_awaitable, ignored);
-    while (!self->closed)
+    if (this->closed)
     {
-        if (!self->watching && !source.read_wanted)
-        {
-            source.idle = true;
-            source.wake.expires_after(std::chrono::hours(1));
-            co_await source.wake.async_wait(token);
-            source.idle = false;
-            continue;
-        }
-        source.read_wanted = false;
-        source.connection.allow();
-        const bool was_watching = self->watching;
-        const std::error_code error = co_await (self.get()->*read)();
-        if (self->closed || (was_watching && !self->watching))
-        {
-            continue; // the watch was ended on purpose
-        }
-        if (!error)
-        {
-            source.retry.reset();
-            source.wake.expires_after(pause);
-            co_await source.wake.async_wait(token);
-            continue;
-        }
-        ++self->counters.failed_reads;
-        const auto delay = source.retry.next();
+        return;
+    }
+    source.idle = !this->watching && !source.read_wanted;
+    if (source.idle)
+    {
+        return;
+    }
+    source.read_wanted = false;
+    source.was_watching = this->watching;
+    source.connection.allow();
+    (this->*source.read)();
+}
+
+// Continues after a read, with a pause that depends on its result.
+void platform::state::finish(channel& source, std::error_code error)
+{
+    if (this->closed)
+    {
+        return;
+    }
+    if (source.was_watching && !this->watching)
+    {
+        this->next(source); // the watch was ended on purpose
+        return;
+    }
+    std::chrono::milliseconds pause = source.pause;
+    if (error)
+    {
+        ++this->counters.failed_reads;
+        pause = source.retry.next();
         log::write(log::level::warning, "platform_read_failed",
                    {log::kv("value",
-                            &source == &self->list ? "instances" : "document"),
+                            &source == &this->list ? "instances" : "document"),
                     log::kv("code", error),
-                    log::kv("retry_ms", delay.count())});
-        source.wake.expires_after(delay);
-        co_await source.wake.async_wait(token);
+                    log::kv("retry_ms", pause.count())});
     }
+    else
+    {
+        source.retry.reset();
+    }
+    source.timer.expires_after(pause);
+    source.timer.async_wait(
+        [own = this->shared_from_this(),
+         &source](const boost::system::error_code&)
+        {
+            own->next(source);
+        });
+}
+
+void platform::state::fetch(channel& source,
+                            std::string path,
+                            std::size_t greatest,
+                            void (state::*done)(http_answer&&))
+{
+    ++this->counters.reads;
+    source.connection.get(std::move(path), this->time_limit(), greatest,
+                          [own = this->shared_from_this(), &source,
+                           done](core::result<http_answer> received)
+                          {
+                              received = checked(std::move(received));
+                              if (!received || own->closed)
+                              {
+                                  own->finish(source, received
+                                                          ? std::error_code()
+                                                          : received.error());
+                                  return;
+                              }
+                              (own.get()->*done)(std::move(*received));
+                          });
 }
 
 std::chrono::milliseconds platform::state::time_limit() const
@@ -211,40 +264,65 @@
 }
 
 // Reads the index, then the parts that are not known yet.
-asio::awaitable<std::error_code> platform::state::read_document()
+void platform::state::read_document()
 {
-    ++this->counters.reads;
-    const auto received = checked(co_await this->document.connection.get(
-        fmt::format("/v1/config/index?after={}&wait_ms={}",
-                    this->document_version, this->wait_time().count()),
-        this->time_limit(), config::max_part_bytes));
-    if (!received || received->status == status_nothing_newer)
+    this->fetch(this->document,
+                fmt::format("/v1/config/index?after={}&wait_ms={}",
+                            this->document_version, this->wait_time().count()),
+                config::max_part_bytes, &state::take_index);
+}
+
+void platform::state::take_index(http_answer&& received)
+{
+    if (received.status == status_nothing_newer)
     {
-        co_return received ? std::error_code() : received.error();
+        this->finish(this->document, {});
+        return;
     }
-    const auto index = config::parse_index(received->body);
+    auto index = config::parse_index(received.body);
     if (const auto result = this->check_index(index))
     {
-        co_return *result;
+        this->finish(this->document, *result);
+        return;
     }
-    const auto& head = std::get<config::document_index>(index);
-    for (std::size_t part = 0; part < head.part_names.size(); ++part)
+    this->pending = {std::get<config::document_index>(std::move(index)),
+                     std::move(received.body), 0};
+    this->read_parts();
+}
+
+void platform::state::read_parts()
+{
+    const config::document_index& index = this->pending.index;
+    std::size_t& part = this->pending.next;
+    while (part < index.part_digests.size() &&
+           this->parts.contains(index.part_digests[part]))
     {
-        if (this->parts.contains(head.part_digests[part]))
-        {
-            continue;
-        }
-        ++this->counters.reads;
-        const auto value = checked(co_await this->document.connection.get(
-            "/v1/config/" + head.part_names[part], this->time_limit(),
-            config::max_part_bytes));
-        if (const auto error = this->store_part(head.part_digests[part], value))
-        {
-            ++this->counters.refused_documents;
-            co_return error;
-        }
+        ++part;
+    }
+    if (part == index.part_digests.size())
+    {
+        this->finish(this->document,
+                     this->join(index, this->pending.index_text));
+        return;
     }
-    co_return this->join(head, received->body);
+    this->fetch(this->document, "/v1/config/" + index.part_names[part],
+                config::max_part_bytes, &state::take_part);
+}
+
+void platform::state::take_part(http_answer&& received)
+{
+    const std::string& digest =
+        this->pending.index.part_digests[this->pending.next];
+    if (config::to_hex(config::sha256(received.body)) != digest)
+    {
+        ++this->counters.refused_documents;
+        this->finish(this->document,
+                     make_error_code(result_code::document_torn));
+        return;
+    }
+    this->parts.emplace(digest, std::move(received.body));
+    ++this->pending.next;
+    this->read_parts();
 }
 
 // Nothing when the index names a newer document; else the result of the read.
@@ -276,22 +354,6 @@
                 : make_error_code(result_code::document_older);
 }
 
-std::error_code
-platform::state::store_part(const std::string& digest,
-                            const core::result<http_answer>& received)
-{
-    if (!received)
-    {
-        return received.error();
-    }
-    if (config::to_hex(config::sha256(received->body)) != digest)
-    {
-        return result_code::document_torn;
-    }
-    this->parts.emplace(digest, received->body);
-    return {};
-}
-
 std::error_code platform::state::join(const config::document_index& index,
                                       const std::string& index_text)
 {
@@ -311,7 +373,7 @@
         ++this->counters.refused_documents;
         return published.error();
     }
-    if (published->version <= this->document_version || this->closed)
+    if (published->version <= this->document_version)
     {
         return {}; // overtaken while the parts were read
     }
@@ -331,54 +393,59 @@
     }
 }
 
-asio::awaitable<std::error_code> platform::state::read_list()
+void platform::state::read_list()
 {
-    ++this->counters.reads;
-    const auto received = checked(co_await this->list.connection.get(
-        fmt::format("/v1/instances?after={}&wait_ms={}", this->list_version,
-                    this->wait_time().count()),
-        this->time_limit(), max_list_bytes));
-    if (!received)
-    {
-        co_return received.error();
-    }
-    if (received->status == status_nothing_newer)
-    {
-        co_return std::error_code();
-    }
-    const auto parsed = config::parse_instance_list(received->body);
-    std::error_code error;
-    if (const auto* faults = std::get_if<config::problems>(&parsed))
+    this->fetch(this->list,
+                fmt::format("/v1/instances?after={}&wait_ms={}",
+                            this->list_version, this->wait_time().count()),
+                max_list_bytes, &state::take_list);
+}
+
+void platform::state::take_list(http_answer&& received)
+{
+    if (received.status == status_nothing_newer)
     {
-        error = faults->code;
+        this->finish(this->list, {});
+        return;
     }
-    else if (std::get<core::instance_list>(parsed).instances.empty())
+    const auto parsed = config::parse_instance_list(received.body);
+    if (const auto error = this->check_list(parsed))
     {
-        error = result_code::list_empty;
+        ++this->counters.refused_lists;
+        this->finish(this->list, error);
+        return;
     }
-    else if (std::get<core::instance_list>(parsed).version < this->list_version)
+    const auto& next = std::get<core::instance_list>(parsed);
+    if (next.version > this->list_version)
     {
-        error = result_code::list_older;
+        this->list_version = next.version;
+        this->handlers.on_list(next);
     }
-    if (error)
+    this->finish(this->list, {});
+}
+
+std::error_code platform::state::check_list(
+    const config::checked<core::instance_list>& parsed) const
+{
+    if (const auto* faults = std::get_if<config::problems>(&parsed))
     {
-        ++this->counters.refused_lists;
-        co_return error;
+        return faults->code;
     }
     const auto& next = std::get<core::instance_list>(parsed);
-    if (next.version > this->list_version && !this->closed)
+    if (next.instances.empty())
     {
-        this->list_version = next.version;
-        this->handlers.on_list(next);
+        return result_code::list_empty;
     }
-    co_return std::error_code();
+    return next.version < this->list_version
+               ? make_error_code(result_code::list_older)
+               : std::error_code();
 }
 
 void platform::state::wake(channel& source)
 {
     if (source.idle)
     {
-        source.wake.cancel();
+        this->next(source);
     }
 }
 
@@ -411,14 +478,6 @@
         fmt::format("{}:{}", settings.platform->address,
                     settings.platform->port),
         core::hash_text(settings.name), std::move(handlers));
-    asio::co_spawn(context,
-                   state::run(initial, initial->document, &state::read_document,
-                              document_pause),
-                   asio::detached);
-    asio::co_spawn(
-        context,
-        state::run(initial, initial->list, &state::read_list, list_pause),
-        asio::detached);
     return std::unique_ptr<platform>(new platform(std::move(initial)));
 }
 
@@ -481,7 +540,7 @@
     for (state::channel* source : {&own.document, &own.list})
     {
         source->connection.cancel();
-        source->wake.cancel();
+        source->timer.cancel();
     }
 }
 
