--- a/medlarbarrow/core/ownership.hpp
+++ b/medlarbarrow/core/ownership.hpp
@@ -28,6 +28,11 @@
     /// How long a delegator keeps a delegation after its answer. Covers the
     /// lease, the grants issued under it and 1% of clock rate drift.
     duration delegator_hold() const noexcept;
+
+    /// How long granted tokens count after the grant: the grant lease and 1%
+    /// of clock rate drift, because the instance that holds them counts the
+    /// lease on its own clock.
+    duration grant_hold() const noexcept;
 };
 
 /// Both sides of the protocol for one instance: delegator and home.
@@ -40,7 +45,11 @@
     /// candidate any more; delegations to it stand until they expire.
     void set_members(const std::vector<std::string>& live, time_point now);
 
-    /// Sets N, the greatest number of instances that may run at once.
+    /// Sets N, the greatest number of instances that may run at once. Before
+    /// the first call this instance delegates nothing. Operators lower N only
+    /// after the fleet has shrunk, and start more instances only after a
+    /// greater N is in force everywhere: instances that disagree about N are
+    /// safe only while no more run than the least N in force.
     void set_max_instances(std::uint32_t max_instances);
 
     /// Sends due solicitations, renews the delegations to itself and suspects
@@ -92,10 +101,34 @@
     std::optional<time_point> majority_since(bucket_id bucket,
                                              time_point now) const;
 
+    /// True when more than N/2 of the delegations counted here came directly
+    /// from `previous`, which gave them back: then no third home has decided
+    /// anything in between, and what `previous` knew is complete.
+    bool succeeds(bucket_id bucket,
+                  const instance_id& previous,
+                  time_point now) const;
+
     /// Fraction this instance may spend without a home: 1/N while it
     /// delegates the bucket to nobody, else 0.
     double own_fraction(bucket_id bucket, time_point now) const;
 
+    /// Time since which own_fraction has been above 0 without a break.
+    /// Meaningful only while it is.
+    time_point own_since(bucket_id bucket) const;
+
+    /// Delegations of a bucket that are counted now: since when each has been
+    /// counted without a break, earliest first, and until when all of them
+    /// stand.
+    struct held_starts
+    {
+        std::vector<time_point> starts;
+        time_point valid_until{};
+    };
+    held_starts starts_of(bucket_id bucket, time_point now) const;
+
+    /// Changes whenever a delegation starts or is lost other than by its end.
+    std::uint64_t revision() const;
+
     std::uint32_t max_instances() const;
     const lease_times& times() const;
     std::size_t member_count() const;
@@ -106,17 +139,30 @@
     {
         instance_id to;
         time_point ends{};
+        nonce first = 0;       ///< solicitation that began it unbroken
+        bool released = false; ///< `to` has given it back before its end
+        instance_id previous;  ///< home that gave it back just before `to`
     };
 
     /// A peer as the home sees it.
     struct peer_state
     {
         nonce solicitation = 0;
+        nonce answered = 0; ///< solicitation that `held` answers
         time_point solicited_at{};
         time_point next_solicitation{};
         std::uint64_t incarnation = 0;
         bucket_set held = 0;
+        std::vector<delegation_origin> origins;
         time_point held_until{};
+        std::array<time_point, bucket_count> held_since{};
+    };
+
+    /// Newest solicitation of one run of an instance.
+    struct seen_request
+    {
+        nonce solicitation = 0;
+        time_point at{};
     };
 
     /// Majority of a bucket, as far as the delegations at hand prove it.
@@ -128,8 +174,10 @@
 
     bool is_eligible(const std::string& name) const;
     bool may_delegate(time_point now) const;
-    bucket_set
-    delegate_to(const instance_id& home, bucket_set wanted, time_point now);
+    bucket_set delegate_to(const instance_id& home,
+                           bucket_set wanted,
+                           nonce solicitation,
+                           time_point now);
     void delegate_to_self(time_point now);
     void suspect_silent_candidates(time_point now);
     void choose_candidates(time_point now);
@@ -140,7 +188,7 @@
     instance_id self;
     time_point started;
     lease_times lease_periods;
-    std::uint32_t instance_limit = 1;
+    std::uint32_t instance_limit = 0; ///< N; 0: not known yet
     std::vector<std::string> members;
     std::set<std::string> suspected;
     /// Incarnation of each instance that has given its delegations back.
@@ -150,8 +198,11 @@
     std::array<time_point, bucket_count> candidate_since{};
     std::array<given_delegation, bucket_count> given;
     std::array<time_point, bucket_count> own_until{};
+    std::array<time_point, bucket_count> own_held_since{};
+    std::uint64_t changes = 1;
     std::array<majority, bucket_count> majorities;
     std::map<std::string, peer_state> peers;
+    std::map<instance_id, seen_request> newest_requests;
     nonce last_nonce = 0;
     time_point last_tick{};
     bool released = false;
