--- a/medlarbarrow/core/spread.cpp
+++ b/medlarbarrow/core/spread.cpp
@@ -270,10 +270,16 @@
 std::error_code spread::accept_document(
     std::shared_ptr<const document_copy> next, time_point now, outbox& out)
 {
-    this->checking = false;
+    const bool from_peer = std::exchange(this->checking, false);
     this->arrived.reset();
     if (next->version <= this->document_version())
     {
+        // A peer that states a newer version than it sends must not be asked
+        // again at once.
+        if (from_peer)
+        {
+            this->avoid(this->arrived_from, now);
+        }
         return result_code::document_older;
     }
     this->document = std::move(next);
@@ -293,8 +299,12 @@
     this->checking = false;
     this->arrived.reset();
     this->pull_in_full = true;
-    if (const auto found = this->peers.find(this->arrived_from);
-        found != this->peers.end())
+    this->avoid(this->arrived_from, now);
+}
+
+void spread::avoid(const std::string& name, time_point now)
+{
+    if (const auto found = this->peers.find(name); found != this->peers.end())
     {
         found->second.avoided_until = now + avoid_time;
     }
@@ -620,11 +630,7 @@
 
 void spread::fail_receipt(time_point now)
 {
-    const auto found = this->peers.find(this->receipt->from);
-    if (found != this->peers.end())
-    {
-        found->second.avoided_until = now + avoid_time;
-    }
+    this->avoid(this->receipt->from, now);
     this->receipt.reset();
 }
 
--- a/medlarbarrow/core/spread.hpp
+++ b/medlarbarrow/core/spread.hpp
@@ -149,6 +149,7 @@
     void finish_receipt();
     void begin_version(const document_part& part);
     void fail_receipt(time_point now);
+    void avoid(const std::string& name, time_point now);
     void send_transfers(std::size_t budget, outbox& out);
     bool take_serving_turn(time_point now);
     std::uint64_t random_below(std::uint64_t bound);
--- a/standin/spread_fleet.cpp
+++ b/standin/spread_fleet.cpp
@@ -27,6 +27,18 @@
     return std::to_string(version) + ' ' + digest_of(values) + ' ';
 }
 
+void damage(core::message& source)
+{
+    if (auto* part = std::get_if<core::document_part>(&source))
+    {
+        part->text += '!';
+    }
+    else if (auto* copy = std::get_if<core::list_copy>(&source))
+    {
+        copy->text.insert(copy->text.size() / 2, "!");
+    }
+}
+
 /// What the control plane does with config::join_document().
 bool is_valid(const core::document_copy& copy)
 {
@@ -295,9 +307,14 @@
         const core::duration delay(static_cast<core::duration::rep>(
             this->random_fraction() *
             static_cast<double>(this->faults.greatest_delay.count())));
-        this->in_flight.emplace(
-            this->clock + std::chrono::microseconds(200) + delay,
-            delivery{from, this->members[from].id, to, message});
+        delivery item{from, this->members[from].id, to, message};
+        if (this->random_fraction() < this->faults.damage)
+        {
+            damage(item.message);
+        }
+        this->in_flight.emplace(this->clock + std::chrono::microseconds(200) +
+                                    delay,
+                                std::move(item));
     }
 }
 
--- a/standin/spread_fleet.hpp
+++ b/standin/spread_fleet.hpp
@@ -19,6 +19,7 @@
 {
     double loss = 0.0;   ///< fraction of messages that are lost
     double repeat = 0.0; ///< fraction that arrives twice
+    double damage = 0.0; ///< fraction of document and list texts changed
     core::duration greatest_delay = std::chrono::milliseconds(4);
     bool platform_away = false;
     bool platform_old = false; ///< shows the versions before the newest
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -37,6 +37,7 @@
     case 5:
         fleet.faults.loss = *rc::gen::inRange(0, 50) / 100.0;
         fleet.faults.repeat = *rc::gen::inRange(0, 50) / 100.0;
+        fleet.faults.damage = *rc::gen::inRange(0, 30) / 100.0;
         break;
     case 6:
         fleet.faults.greatest_delay =
