--- a/medlarbarrow/core/spread.cpp
+++ b/medlarbarrow/core/spread.cpp
@@ -321,11 +321,12 @@
     {
         return result_code::list_older;
     }
-    this->put_list_in_force(next, now, out);
+    this->put_list_in_force(next, now);
+    this->announce(this->list.version, list_trees, now, out);
     return {};
 }
 
-void spread::put_list_in_force(instance_list next, time_point now, outbox& out)
+void spread::put_list_in_force(instance_list next, time_point now)
 {
     if (this->list.version != 0)
     {
@@ -336,7 +337,6 @@
     this->choose_neighbours(now);
     this->choose_gossip(now);
     this->forget_old_peers(now);
-    this->announce(this->list.version, list_trees, now, out);
     if (!this->document)
     {
         this->next_heartbeat = now;
@@ -447,7 +447,8 @@
         return out;
     }
     this->arrived_list = *next;
-    this->put_list_in_force(std::move(*next), now, out);
+    this->put_list_in_force(std::move(*next), now);
+    this->list_announcement_due = true;
     return out;
 }
 
@@ -663,6 +664,10 @@
     {
         this->heartbeat(now, out);
     }
+    if (std::exchange(this->list_announcement_due, false))
+    {
+        this->announce(this->list.version, list_trees, now, out);
+    }
     if (this->receipt && now >= this->receipt->deadline)
     {
         this->fail_receipt(now);
--- a/medlarbarrow/core/spread.hpp
+++ b/medlarbarrow/core/spread.hpp
@@ -54,7 +54,8 @@
     /// pulled again in full.
     void reject_document(time_point now);
 
-    /// Takes a list of the platform. Errors: list_older, list_empty.
+    /// Takes a list of the platform and announces it; the caller puts it in
+    /// force before it sends `out`. Errors: list_older, list_empty.
     std::error_code
     accept_list(const instance_list& next, time_point now, outbox& out);
 
@@ -134,7 +135,7 @@
                        const hello& news,
                        time_point now,
                        outbox& out);
-    void put_list_in_force(instance_list next, time_point now, outbox& out);
+    void put_list_in_force(instance_list next, time_point now);
     void forget_old_peers(time_point now);
     void heartbeat(time_point now, outbox& out);
     void choose_neighbours(time_point now);
@@ -172,6 +173,8 @@
     list_history history;
     bool list_in_full = false;
     std::optional<instance_list> arrived_list;
+    /// With the next tick, when the caller knows the new addresses.
+    bool list_announcement_due = false;
 
     std::map<std::string, peer_state> peers;
     std::vector<std::string> live; ///< listed, not leaving, not itself
