--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -183,7 +183,7 @@
         boost::system::error_code error;
         tcp::socket socket = co_await self->acceptor.async_accept(
             asio::redirect_error(asio::use_awaitable, error));
-        if (!error && !self->faults.away && !self->closed)
+        if (!error && !self->closed)
         {
             asio::co_spawn(self->context, serve(self, std::move(socket)),
                            asio::detached);
@@ -196,7 +196,7 @@
 {
     self->sockets.insert(&socket);
     beast::flat_buffer buffer;
-    while (!self->closed && !self->faults.away)
+    while (!self->closed)
     {
         boost::system::error_code error;
         auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -208,8 +208,14 @@
             break;
         }
         const request_type request = parser.release();
+        // The control path works while the platform is away, to end that.
+        const bool is_control = request.target().starts_with("/control/");
+        if (self->faults.away && !is_control)
+        {
+            break;
+        }
         response_type answer = co_await self->handle(request);
-        if (self->closed || self->faults.away)
+        if (self->closed || (self->faults.away && !is_control))
         {
             break;
         }
