--- a/medlarbarrow/core/spread.cpp
+++ b/medlarbarrow/core/spread.cpp
@@ -270,10 +270,16 @@
 std::error_code spread::accept_document(
     std::shared_ptr<const document_copy> next, time_point now, outbox& out)
 {
-    this->checking = false;
+    const bool from_peer = std::exchange(this->checking, false);
     this->arrived.reset();
     if (next->version <= this->document_version())
     {
+        // A peer that states a newer version than it sends must not be asked
+        // again at once.
+        if (from_peer)
+        {
+            this->avoid(this->arrived_from, now);
+        }
         return result_code::document_older;
     }
     this->document = std::move(next);
@@ -293,8 +299,12 @@
     this->checking = false;
     this->arrived.reset();
     this->pull_in_full = true;
-    if (const auto found = this->peers.find(this->arrived_from);
-        found != this->peers.end())
+    this->avoid(this->arrived_from, now);
+}
+
+void spread::avoid(const std::string& name, time_point now)
+{
+    if (const auto found = this->peers.find(name); found != this->peers.end())
     {
         found->second.avoided_until = now + avoid_time;
     }
@@ -311,11 +321,12 @@
     {
         return result_code::list_older;
     }
-    this->put_list_in_force(next, now, out);
+    this->put_list_in_force(next, now);
+    this->announce(this->list.version, list_trees, now, out);
     return {};
 }
 
-void spread::put_list_in_force(instance_list next, time_point now, outbox& out)
+void spread::put_list_in_force(instance_list next, time_point now)
 {
     if (this->list.version != 0)
     {
@@ -326,7 +337,6 @@
     this->choose_neighbours(now);
     this->choose_gossip(now);
     this->forget_old_peers(now);
-    this->announce(this->list.version, list_trees, now, out);
     if (!this->document)
     {
         this->next_heartbeat = now;
@@ -437,7 +447,8 @@
         return out;
     }
     this->arrived_list = *next;
-    this->put_list_in_force(std::move(*next), now, out);
+    this->put_list_in_force(std::move(*next), now);
+    this->list_announcement_due = true;
     return out;
 }
 
@@ -620,11 +631,7 @@
 
 void spread::fail_receipt(time_point now)
 {
-    const auto found = this->peers.find(this->receipt->from);
-    if (found != this->peers.end())
-    {
-        found->second.avoided_until = now + avoid_time;
-    }
+    this->avoid(this->receipt->from, now);
     this->receipt.reset();
 }
 
@@ -657,6 +664,10 @@
     {
         this->heartbeat(now, out);
     }
+    if (std::exchange(this->list_announcement_due, false))
+    {
+        this->announce(this->list.version, list_trees, now, out);
+    }
     if (this->receipt && now >= this->receipt->deadline)
     {
         this->fail_receipt(now);
