--- a/medlarbarrow/core/limits.cpp
+++ b/medlarbarrow/core/limits.cpp
@@ -648,7 +648,12 @@
         state.urgent = true;
         this->urgent.push_back(account);
     }
-    this->send_urgent(owners, now, out);
+    // Going through all that wait at most once per home and urgent period keeps
+    // the cost of a request independent of their number.
+    if (now >= this->next_urgent[owner])
+    {
+        this->send_urgent(owners, now, out);
+    }
     return {spend_kind::wait, asked + longest_wait, {}, false};
 }
 
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -126,8 +126,184 @@
     }
 }
 
+/// An entry instance whose only account belongs to another home.
+struct entry_instance : testing::Test
+{
+    entry_instance() : owners({"entry", 1}, now), tokens({"entry", 1})
+    {
+        this->owners.set_members({"home"}, this->now);
+        this->owners.set_max_instances(10);
+        auto limits = std::make_shared<core::account_limits>();
+        (*limits)["a"] = {10.0, 100.0};
+        this->tokens.set_limits(limits);
+    }
+
+    core::spend_kind spend()
+    {
+        return this->tokens
+            .spend("a", this->now, this->unused, this->owners, this->now,
+                   this->out)
+            .kind;
+    }
+
+    core::nonce newest_nonce() const
+    {
+        return std::get<core::token_request>(this->out.back().message).nonce;
+    }
+
+    void grant(core::nonce nonce, double amount)
+    {
+        this->tokens.receive({nonce, seconds(2), {{"a", amount}}}, this->now);
+    }
+
+    core::time_point now{seconds(1000)};
+    core::ownership owners;
+    core::token_holder tokens;
+    core::limit_home unused;
+    core::outbox out;
+};
+
+/// An entry instance whose bucket is free, with tokens of its own fraction.
+struct entry_without_home : entry_instance
+{
+    entry_without_home()
+    {
+        this->now += seconds(100);
+        EXPECT_EQ(this->spend(), core::spend_kind::granted);
+    }
+};
+
+/// A home that holds three delegations of N = 3.
+struct home_of_three : testing::Test
+{
+    home_of_three() : owners({"home", 1}, now)
+    {
+        this->owners.set_members({"home"}, this->now);
+        this->owners.set_max_instances(3);
+        auto limits = std::make_shared<core::account_limits>();
+        (*limits)["a"] = {10.0, 30.0};
+        this->home.set_limits(limits);
+        this->now += seconds(9);
+        for (int round = 0; round < 3; ++round)
+        {
+            this->delegate({"b", "c"});
+            this->now += seconds(2);
+        }
+    }
+
+    /// Delegations of these peers and of the home itself.
+    void delegate(const std::vector<std::string>& peers)
+    {
+        std::vector<std::string> members = peers;
+        members.emplace_back("home");
+        this->owners.set_members(members, this->now);
+        for (const std::string& peer : peers)
+        {
+            // Only the home is a candidate; the others only delegate.
+            this->owners.receive({peer, 1}, core::delegation_release{},
+                                 this->now);
+        }
+        for (const core::outgoing& item : this->owners.tick(this->now))
+        {
+            const auto& request =
+                std::get<core::delegation_request>(item.message);
+            this->owners.receive(
+                {item.to, 1},
+                core::delegation{
+                    request.nonce, request.buckets, seconds(6), {}},
+                this->now);
+        }
+    }
+
+    /// What the home grants; -1 when it leaves the account out.
+    double ask(double held, double wanted)
+    {
+        const core::outbox out = this->home.receive(
+            {"entry", 1}, {++this->last_nonce, {{"a", held, wanted}}},
+            this->owners, this->now);
+        const auto& grant = std::get<core::token_grant>(out.at(0).message);
+        return grant.amounts.empty() ? -1.0 : grant.amounts[0].amount;
+    }
+
+    core::time_point now{seconds(1000)};
+    core::ownership owners;
+    core::limit_home home;
+    core::nonce last_nonce = 0;
+};
+
 } // namespace
 
+// Guards against tokens that count twice: the home forgets a grant when a
+// newer request does not report it as held.
+TEST_F(entry_instance, takes_only_the_answer_to_its_newest_request_and_once)
+{
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+    const core::nonce first = this->newest_nonce();
+    this->now += milliseconds(70);
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+    const core::nonce second = this->newest_nonce();
+    ASSERT_NE(first, second);
+    this->grant(first, 5.0);
+    this->now += milliseconds(1);
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+    this->grant(second, 2.0);
+    this->grant(second, 2.0);
+    this->now += milliseconds(1);
+    EXPECT_EQ(this->spend(), core::spend_kind::granted);
+    EXPECT_EQ(this->spend(), core::spend_kind::granted);
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+}
+
+// Guards against a lease that starts with a late answer and so outlives the
+// time for which the home counts the tokens.
+TEST_F(entry_instance, counts_the_lease_from_its_request)
+{
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+    this->now += milliseconds(1900);
+    this->grant(this->newest_nonce(), 5.0);
+    EXPECT_EQ(this->spend(), core::spend_kind::granted);
+    this->now += milliseconds(100);
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+}
+
+// Guards against tokens of the own fraction that outlive a delegation, during
+// which the home granted that fraction.
+TEST_F(entry_without_home, drops_its_own_tokens_when_it_delegates)
+{
+    this->owners.receive({"home", 1},
+                         core::delegation_request{1, ~core::bucket_set{0}},
+                         this->now);
+    this->now += this->owners.times().delegator_hold();
+    EXPECT_EQ(this->spend(), core::spend_kind::wait);
+    this->now += milliseconds(1100);
+    EXPECT_EQ(this->spend(), core::spend_kind::granted);
+}
+
+// Guards against a level that survives a break, in which another home may have
+// granted the same burst.
+TEST_F(home_of_three, starts_empty_after_its_delegations_were_broken)
+{
+    EXPECT_EQ(this->ask(0.0, 1.0), 1.0);
+    this->now += seconds(30);
+    this->delegate({"b", "c"});
+    EXPECT_LE(this->ask(0.0, 30.0), 0.0);
+    this->now += seconds(1);
+    EXPECT_EQ(this->ask(0.0, 30.0), 10.0);
+}
+
+// Guards against renewals of tokens for which the delegations have been lost:
+// their new home grants the same burst.
+TEST_F(home_of_three, renews_nothing_beyond_its_share)
+{
+    EXPECT_EQ(this->ask(0.0, 30.0), 30.0);
+    EXPECT_EQ(this->ask(30.0, 0.0), 0.0);
+    this->now += seconds(3);
+    this->delegate({});
+    this->now += seconds(2);
+    EXPECT_EQ(this->ask(30.0, 0.0), -1.0);
+    EXPECT_GE(this->ask(9.0, 0.0), 0.0);
+}
+
 // Guards against refusals of an account that keeps its rate, wherever its
 // requests arrive.
 TEST_F(full_fleet, grants_an_account_its_whole_rate)
