--- a/medlarbarrow/core/limits.cpp
+++ b/medlarbarrow/core/limits.cpp
@@ -529,7 +529,7 @@
     return entry->second;
 }
 
-void token_holder::send(request_batch requests, time_point now, outbox& out)
+void token_holder::send(request_batch&& requests, time_point now, outbox& out)
 {
     for (auto& [home, request] : requests)
     {
--- a/medlarbarrow/core/limits.hpp
+++ b/medlarbarrow/core/limits.hpp
@@ -225,7 +225,7 @@
                          const account_limit& limit,
                          time_point now);
     token_request& request_to(request_batch& requests, const std::string& home);
-    void send(request_batch requests, time_point now, outbox& out);
+    void send(request_batch&& requests, time_point now, outbox& out);
     void send_urgent(const ownership& owners, time_point now, outbox& out);
     void sweep(const ownership& owners, time_point now, outbox& out);
 
--- a/medlarbarrow/core/orders.cpp
+++ b/medlarbarrow/core/orders.cpp
@@ -22,7 +22,7 @@
 
 /// Parts of a handover stay below the greatest peer message.
 constexpr std::size_t part_records = 256;
-constexpr std::size_t part_bytes = 256U * 1024U;
+constexpr std::size_t part_bytes = 256UL * 1024UL;
 
 /// Handovers of a bucket kept until this home succeeds one of the senders.
 constexpr std::size_t received_handovers = 4;
--- a/medlarbarrow/core/orders.hpp
+++ b/medlarbarrow/core/orders.hpp
@@ -17,7 +17,7 @@
 {
 
 /// Greatest body that a record keeps for repeats.
-constexpr std::size_t stored_body_limit = 16U * 1024U;
+constexpr std::size_t stored_body_limit = 16UL * 1024UL;
 
 /// Greatest number of order records a home keeps in all its buckets; a claim
 /// beyond it is answered in_progress so that memory stays bounded.
@@ -25,7 +25,7 @@
 
 /// Greatest sum of the answers a home keeps. Beyond it an order that has been
 /// answered is remembered without its answer: a repeat gets `unknown`.
-constexpr std::size_t stored_bytes_limit = 32U * 1024U * 1024U;
+constexpr std::size_t stored_bytes_limit = 32UL * 1024UL * 1024UL;
 
 /// Creation time of a UUID version 7 in its usual text form.
 /// Errors: order_key_missing (empty), order_key_invalid.
