--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -910,7 +910,8 @@
 const std::vector<variant> variants{{"chosen"},
                                     {"round-robin", true},
                                     {"error-counting", false, true},
-                                    {"fifo", false, false, true}};
+                                    {"fifo", false, false, true},
+                                    {"all-baselines", true, true, true}};
 
 const std::vector<deployment> deployments{
     {"luoi-xanh", "specbook", 25, 3, 40, 1.0, 2.0},
@@ -924,7 +925,8 @@
                              "Measures routing, detection and admission");
     options.add_options()("seed", "seed of all randomness",
                           cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "policy", "chosen, round-robin, error-counting, fifo or all",
+        "policy",
+        "chosen, round-robin, error-counting, fifo, all-baselines or all",
         cxxopts::value<std::string>()->default_value("all"))(
         "scenario", "name of a scenario, or all",
         cxxopts::value<std::string>()->default_value("all"))(
