--- a/medlarbarrow/core/ownership.cpp
+++ b/medlarbarrow/core/ownership.cpp
@@ -21,6 +21,10 @@
 /// Clock rates of two instances differ by less than one part in this many.
 constexpr int drift_divisor = 100;
 
+/// The newest solicitation of a run that has gone silent is remembered this
+/// long, far beyond the delay of any message.
+constexpr duration request_memory = std::chrono::minutes(10);
+
 /// Nonces of a later run are greater than all nonces of an earlier one, so
 /// that a late answer to the earlier run matches nothing.
 constexpr unsigned incarnation_shift = 20;
@@ -68,6 +72,11 @@
     return hold + hold / drift_divisor;
 }
 
+duration lease_times::grant_hold() const noexcept
+{
+    return this->grant_lease + this->grant_lease / drift_divisor;
+}
+
 ownership::ownership(instance_id self_id, time_point started_at)
     : self(std::move(self_id)), started(started_at),
       last_nonce(this->self.incarnation << incarnation_shift),
@@ -80,7 +89,6 @@
 {
     this->members = live;
     std::sort(this->members.begin(), this->members.end());
-    this->lease_periods = lease_times::for_fleet(this->members.size());
     const auto listed = [this](const std::string& name)
     {
         return std::binary_search(this->members.begin(), this->members.end(),
@@ -102,13 +110,33 @@
                   {
                       return !listed(name);
                   });
+    std::erase_if(this->departed,
+                  [&](const auto& item)
+                  {
+                      return !listed(item.first) &&
+                             item.first != this->self.name;
+                  });
+    std::erase_if(this->newest_requests,
+                  [&](const auto& item)
+                  {
+                      return now - item.second.at > request_memory;
+                  });
     this->choose_candidates(now);
 }
 
+// Times follow N and not the list: a new process must wait out the lease of its
+// predecessor, whose list may have been longer. Majorities start anew with the
+// next tick, which knows the time.
 void ownership::set_max_instances(std::uint32_t max_instances)
 {
-    this->instance_limit = std::max<std::uint32_t>(max_instances, 1);
-    this->update_majorities(~bucket_set{0}, this->last_tick);
+    const std::uint32_t next = std::max<std::uint32_t>(max_instances, 1);
+    if (next == this->instance_limit)
+    {
+        return;
+    }
+    this->instance_limit = next;
+    this->lease_periods = lease_times::for_fleet(next);
+    this->majorities = {};
 }
 
 // Finds the candidate of each bucket. A changed candidate gets a new grace
@@ -196,10 +224,10 @@
 }
 
 // A new process waits until the delegations of an earlier process of this
-// instance have expired.
+// instance have expired, and until it knows N.
 bool ownership::may_delegate(time_point now) const
 {
-    return !this->released &&
+    return !this->released && this->instance_limit > 0 &&
            now >= this->started + this->lease_periods.delegator_hold();
 }
 
@@ -207,6 +235,7 @@
 // this run of `home`, and whose candidate is `home`.
 bucket_set ownership::delegate_to(const instance_id& home,
                                   bucket_set wanted,
+                                  nonce solicitation,
                                   time_point now)
 {
     bucket_set delegated = 0;
@@ -221,7 +250,18 @@
         if (contains(wanted, bucket) && free &&
             this->candidates[bucket] == home.name)
         {
-            current = {home, now + this->lease_periods.delegator_hold()};
+            if (current.to != home)
+            {
+                current.previous =
+                    current.released ? current.to : instance_id{};
+            }
+            if (current.to != home || now >= current.ends)
+            {
+                current.first = solicitation;
+            }
+            current.to = home;
+            current.ends = now + this->lease_periods.delegator_hold();
+            current.released = false;
             delegated |= single(bucket);
         }
     }
@@ -231,13 +271,19 @@
 void ownership::delegate_to_self(time_point now)
 {
     const bucket_set delegated =
-        this->delegate_to(this->self, this->own_buckets(), now);
+        this->delegate_to(this->self, this->own_buckets(), 0, now);
     for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
     {
-        if (contains(delegated, bucket))
+        if (!contains(delegated, bucket))
+        {
+            continue;
+        }
+        if (now >= this->own_until[bucket])
         {
-            this->own_until[bucket] = now + this->lease_periods.lease;
+            this->own_held_since[bucket] = now;
+            ++this->changes;
         }
+        this->own_until[bucket] = now + this->lease_periods.lease;
     }
 }
 
@@ -273,14 +319,35 @@
                           const delegation_request& request,
                           time_point now)
 {
-    const bucket_set delegated = this->delegate_to(from, request.buckets, now);
+    // A solicitation that was overtaken by a newer one is stale: answering it
+    // would tie the buckets to a home that may be gone.
+    seen_request& newest = this->newest_requests[from];
+    if (request.nonce <= newest.solicitation)
+    {
+        return {};
+    }
+    newest = {request.nonce, now};
+    const bucket_set delegated =
+        this->delegate_to(from, request.buckets, request.nonce, now);
     if (delegated == 0)
     {
         return {};
     }
-    const delegation answer{request.nonce, delegated,
-                            this->lease_periods.lease};
-    return {{from.name, answer}};
+    delegation answer{request.nonce, delegated, this->lease_periods.lease, {}};
+    std::map<instance_id, bucket_set> previous;
+    for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
+    {
+        const instance_id& home = this->given[bucket].previous;
+        if (contains(delegated, bucket) && !home.name.empty())
+        {
+            previous[home] |= single(bucket);
+        }
+    }
+    for (const auto& [home, buckets] : previous)
+    {
+        answer.origins.push_back({home, buckets});
+    }
+    return {{from.name, std::move(answer)}};
 }
 
 void ownership::receive(const instance_id& from,
@@ -295,8 +362,19 @@
     }
     peer_state& peer = found->second;
     const bucket_set affected = peer.held | answer.buckets;
+    const bucket_set unbroken = now < peer.held_until ? peer.held : 0;
+    for (bucket_id bucket = 0; bucket < bucket_count; ++bucket)
+    {
+        if (contains(answer.buckets & ~unbroken, bucket))
+        {
+            peer.held_since[bucket] = now;
+        }
+    }
+    this->changes += unbroken == answer.buckets ? 0 : 1;
     peer.incarnation = from.incarnation;
     peer.held = answer.buckets;
+    peer.origins = answer.origins;
+    peer.answered = answer.nonce;
     // The lease counts from the solicitation, which precedes the answer, so
     // that this home stops before the delegator does.
     peer.held_until = peer.solicited_at + answer.lease;
@@ -312,12 +390,17 @@
         given_delegation& current = this->given[bucket];
         if (contains(release.buckets, bucket) && current.to == from)
         {
+            // Without a break since the answer that the home counted last.
+            current.released =
+                current.released ||
+                (now < current.ends && current.first <= release.answered);
             current.ends =
-                std::min(current.ends, now + this->lease_periods.grant_lease);
+                std::min(current.ends, now + this->lease_periods.grant_hold());
         }
     }
     // The next candidate starts without waiting for the list.
-    this->departed[from.name] = from.incarnation;
+    std::uint64_t& departed_run = this->departed[from.name];
+    departed_run = std::max(departed_run, from.incarnation);
     this->choose_candidates(now);
 }
 
@@ -331,11 +414,12 @@
     {
         if (peer.held != 0 && peer.held_until > now)
         {
-            out.push_back({name, delegation_release{peer.held}});
+            out.push_back({name, delegation_release{peer.held, peer.answered}});
         }
         peer.held = 0;
     }
     this->own_until.fill(time_point{});
+    ++this->changes;
     this->update_majorities(~bucket_set{0}, now);
     return out;
 }
@@ -383,11 +467,40 @@
 
 double ownership::share(bucket_id bucket, time_point now) const
 {
+    if (this->instance_limit == 0)
+    {
+        return 0.0;
+    }
     const std::uint32_t held =
         std::min(this->delegations(bucket, now), this->instance_limit);
     return static_cast<double>(held) / this->instance_limit;
 }
 
+// Those delegators served nobody between `previous` and this home. They are
+// more than N/2, so no other home can have had a majority in between.
+bool ownership::succeeds(bucket_id bucket,
+                         const instance_id& previous,
+                         time_point now) const
+{
+    std::uint32_t direct = 0;
+    for (const auto& [name, peer] : this->peers)
+    {
+        const bool counted =
+            contains(peer.held, bucket) && now < peer.held_until;
+        for (const delegation_origin& origin : peer.origins)
+        {
+            const bool same =
+                origin.previous == previous && contains(origin.buckets, bucket);
+            direct += counted && same ? 1 : 0;
+        }
+    }
+    const given_delegation& own = this->given[bucket];
+    const bool own_direct =
+        now < this->own_until[bucket] && own.previous == previous;
+    direct += own_direct ? 1 : 0;
+    return direct >= this->majority_size();
+}
+
 std::uint32_t ownership::majority_size() const
 {
     return this->instance_limit / 2 + 1;
@@ -426,7 +539,7 @@
     }
     majority& current = this->majorities[bucket];
     const std::size_t needed = this->majority_size();
-    if (ends.size() < needed)
+    if (this->instance_limit == 0 || ends.size() < needed)
     {
         current = {};
         return;
@@ -460,6 +573,46 @@
     return 1.0 / this->instance_limit;
 }
 
+time_point ownership::own_since(bucket_id bucket) const
+{
+    return std::max(this->given[bucket].ends,
+                    this->started + this->lease_periods.delegator_hold());
+}
+
+ownership::held_starts ownership::starts_of(bucket_id bucket,
+                                            time_point now) const
+{
+    held_starts found;
+    found.valid_until = time_point::max();
+    for (const auto& [name, peer] : this->peers)
+    {
+        if (contains(peer.held, bucket) && now < peer.held_until)
+        {
+            found.starts.push_back(peer.held_since[bucket]);
+            found.valid_until = std::min(found.valid_until, peer.held_until);
+        }
+    }
+    if (now < this->own_until[bucket])
+    {
+        found.starts.push_back(this->own_held_since[bucket]);
+        found.valid_until =
+            std::min(found.valid_until, this->own_until[bucket]);
+    }
+    std::sort(found.starts.begin(), found.starts.end());
+    // More delegations than N prove that N is wrong; only N of them count.
+    if (found.starts.size() > this->instance_limit)
+    {
+        found.starts.erase(found.starts.begin(),
+                           found.starts.end() - this->instance_limit);
+    }
+    return found;
+}
+
+std::uint64_t ownership::revision() const
+{
+    return this->changes;
+}
+
 std::uint32_t ownership::max_instances() const
 {
     return this->instance_limit;
