Pass membership and configuration messages to their module

Cause: in the visitor of the control thread the generic handler was a better match for a non-const message than the handlers of hello, document_pull, document_part and list_copy, so that all went to the decisions, which ignore them. Ruled out: the links, the codec and the spread logic.

--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -9,6 +9,7 @@
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/spread.hpp>
 #include <medlarbarrow/net/admin.hpp>
+#include <medlarbarrow/net/codec.hpp>
 #include <medlarbarrow/net/entry.hpp>
 #include <medlarbarrow/net/instance.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -417,28 +418,31 @@
     {
         const core::time_point now = core::boot_clock::now();
         core::outbox out;
+        log::write(log::level::debug, "peer_message",
+                   {log::kv("peer", from.name),
+                    log::kv("type", type_name(incoming.index()))});
         std::visit(
-            overloaded{[&](const core::hello& item)
-                       {
-                           out = this->distribution.receive(from, item, now);
-                       },
-                       [&](const core::document_pull& item)
-                       {
-                           out = this->distribution.receive(from, item, now);
-                       },
-                       [&](const core::document_part& item)
-                       {
-                           out = this->distribution.receive(from, item, now);
-                       },
-                       [&](const core::list_copy& item)
-                       {
-                           out = this->distribution.receive(from, item, now);
-                       },
-                       [&](auto& item)
-                       {
-                           this->post_proxy(peer_message{
-                               from, core::message(std::move(item))});
-                       }},
+            overloaded{
+                [&](const core::hello& item)
+                {
+                    out = this->distribution.receive(from, item, now);
+                },
+                [&](const core::document_pull& item)
+                {
+                    out = this->distribution.receive(from, item, now);
+                },
+                [&](const core::document_part& item)
+                {
+                    out = this->distribution.receive(from, item, now);
+                },
+                [&](const core::list_copy& item)
+                {
+                    out = this->distribution.receive(from, item, now);
+                },
+                [&](const auto&)
+                {
+                    this->post_proxy(peer_message{from, std::move(incoming)});
+                }},
             incoming);
         this->send(out);
         this->take_arrivals();
@@ -477,6 +481,9 @@
         this->send(out);
         if (refused)
         {
+            log::write(
+                log::level::info, "document_refused",
+                {log::kv("version", next.version), log::kv("error", refused)});
             return;
         }
         this->client->set_document(next);
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -118,11 +118,16 @@
 }
 
 // Guards against a key from a clock that is ahead: a later home would take it
-// for one created after its knowledge had started.
+// for one created after its knowledge had started. Guards also against "not
+// run" for a key that an earlier home, whose clock is ahead, has accepted.
 TEST_F(lone_home, refuses_a_key_from_the_future)
 {
-    EXPECT_EQ(this->claim(first, 1, milliseconds(-2001)).kind,
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-4001)).kind,
               order_verdict_kind::in_future);
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-4000)).kind,
+              order_verdict_kind::in_progress);
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-2001)).kind,
+              order_verdict_kind::in_progress);
     EXPECT_EQ(this->claim(first, 2, milliseconds(-2000)).kind,
               order_verdict_kind::run);
 }
