--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -291,6 +291,14 @@
     EXPECT_EQ(this->ask(0.0, 30.0), 10.0);
 }
 
+// Guards against a bucket that fills while the tokens out leave no room.
+TEST_F(home_of_three, fills_only_after_the_tokens_out_have_expired)
+{
+    EXPECT_EQ(this->ask(0.0, 30.0), 30.0);
+    this->now += seconds(3);
+    EXPECT_EQ(this->ask(0.0, 30.0), 9.0);
+}
+
 // Guards against renewals of tokens for which the delegations have been lost:
 // their new home grants the same burst.
 TEST_F(home_of_three, renews_nothing_beyond_its_share)
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -135,6 +135,30 @@
     EXPECT_EQ(this->claim(first, 2, seconds(5)).kind, order_verdict_kind::run);
 }
 
+// Guards against knowledge that outlives a pause, in which another home may
+// have had the majority.
+TEST_F(lone_home, knows_nothing_from_before_a_break_of_its_majority)
+{
+    this->now.monotonic += seconds(20);
+    this->now.wall += seconds(20);
+    this->pass(milliseconds(0));
+    EXPECT_EQ(this->claim(first, 1).kind, order_verdict_kind::unknown);
+    this->pass(milliseconds(4001));
+    EXPECT_EQ(this->claim(first, 2).kind, order_verdict_kind::run);
+}
+
+// Guards against knowledge of a home after which a third one may have decided.
+TEST_F(lone_home, takes_no_knowledge_without_succeeding_the_sender)
+{
+    core::order_handover part;
+    part.bucket = core::bucket_of(this->identity);
+    part.last = true;
+    part.knowledge_start = this->now.wall - seconds(100);
+    this->home.adopt(first, part, this->now);
+    EXPECT_EQ(this->claim(first, 1, seconds(6)).kind,
+              order_verdict_kind::unknown);
+}
+
 // Guards against a run of an order whose record has been forgotten.
 TEST_F(lone_home, does_not_run_what_is_older_than_its_memory)
 {
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -77,6 +77,14 @@
     EXPECT_NE(this->ask({"c", 1}, 9) & given, 0U);
 }
 
+// Guards against a late solicitation that ties buckets to a home that has left,
+// and that makes a third home in between look as if there had been none.
+TEST_F(delegator_with_document, ignores_an_overtaken_solicitation)
+{
+    EXPECT_NE(this->ask({"b", 1}, 8), 0U);
+    EXPECT_EQ(this->ask({"b", 1}, 7), 0U);
+}
+
 // Guards against a released run that becomes a candidate again because a
 // release of an earlier run of the same instance arrives late.
 TEST_F(delegator_with_document, keeps_a_departed_run_out_after_a_late_release)
