--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -41,7 +41,8 @@
 constexpr double noisy_factor = 5.0;
 constexpr std::size_t noisy_account = 3;
 constexpr std::size_t bad_server = 5;
-constexpr std::size_t cut_instance = 3;
+/// In the data centre of the bad server, which it therefore uses most.
+constexpr std::size_t cut_instance = 5;
 /// Waiting requests a server accepts per slot before it sheds.
 constexpr std::size_t server_queue_per_slot = 2;
 constexpr std::size_t queue_capacity = 256;
@@ -67,6 +68,7 @@
     flapping,
     path_cut,
     service_slow,
+    service_fails,
     overload
 };
 
@@ -90,7 +92,7 @@
 {
     std::vector<outcome_counts> accounts;
     std::optional<double> detection_seconds;
-    std::size_t false_ejections = 0; ///< (instance, server) pairs
+    std::size_t false_ejections = 0; ///< (instance, server) pairs, and cuts
     std::size_t most_out = 0;        ///< servers, over the union
     std::size_t retries = 0;
 };
@@ -150,9 +152,10 @@
     measurement(const deployment& at,
                 scenario what,
                 const variant& how,
-                std::uint64_t seed)
-        : place(at), kind(what), chosen(how), random(seed),
-          home(at.service, start - 1min), servers(at.servers)
+                std::uint64_t seed,
+                bool events_too)
+        : place(at), kind(what), chosen(how), shows_events(events_too),
+          random(seed), home(at.service, start - 1min), servers(at.servers)
     {
         this->result.accounts.resize(account_weights.size());
         this->build_document();
@@ -363,10 +366,10 @@
         }
         else
         {
-            const auto pushed =
-                at.fair.push({id, std::to_string(account),
-                              core::route_priority::normal, made.deadline},
-                             this->now);
+            const auto pushed = at.fair.push(
+                {id, std::to_string(account), core::route_priority::normal,
+                 made.deadline, account_weights[account]},
+                this->now);
             if (pushed.code != core::result_code::ok)
             {
                 this->end_refused(id);
@@ -479,13 +482,16 @@
         server& at = this->servers[to];
         const bool refuses =
             this->is_bad(to) && this->kind != scenario::gray_slow;
+        const bool all_fail = this->kind == scenario::service_fails &&
+                              this->faulty_now() && this->random() % 2 == 0;
         const bool full =
             at.busy >= this->place.slots &&
             at.waiting.size() >= server_queue_per_slot * this->place.slots;
-        if (refuses || full)
+        if (refuses || all_fail || full)
         {
-            const auto end = refuses ? core::attempt_end::not_sent
-                                     : core::attempt_end::refused_not_run;
+            const auto end = refuses || all_fail
+                                 ? core::attempt_end::not_sent
+                                 : core::attempt_end::refused_not_run;
             this->after(way,
                         [this, id, attempt, end]
                         {
@@ -545,7 +551,9 @@
         work();
     }
 
-    static core::work_outcome outcome_of(core::attempt_end end)
+    core::work_outcome outcome_of(core::attempt_end end,
+                                  const instance& at,
+                                  const request& of) const
     {
         switch (end)
         {
@@ -554,7 +562,9 @@
         case core::attempt_end::refused_not_run:
             return core::work_outcome::shed;
         case core::attempt_end::timed_out:
-            return core::work_outcome::timed_out;
+            return core::outcome_of_timeout(
+                this->now - of.sent,
+                at.table.typical_latency(this->place.service));
         default:
             return core::work_outcome::failed;
         }
@@ -572,7 +582,7 @@
         request& of = found->second;
         instance& at = *this->instances[of.instance];
         const core::duration latency = this->now - of.sent;
-        const core::work_outcome outcome = outcome_of(end);
+        const core::work_outcome outcome = outcome_of(end, at, of);
         const std::string name = server_name(of.server);
         of.ended = true;
         at.table.finished(this->place.service, name, outcome, latency,
@@ -704,7 +714,7 @@
             }
             const bool rightly = shown.server == server_name(bad_server) &&
                                  this->is_fault_of(index);
-            if (shown.state == "ejected" && !rightly &&
+            if (shown.state != "healthy" && !rightly &&
                 !at.out.contains(shown.server))
             {
                 ++this->result.false_ejections;
@@ -800,7 +810,17 @@
 
     void tick_home()
     {
-        this->home.tick(this->now);
+        for (const core::detection_event& event : this->home.tick(this->now))
+        {
+            if (this->shows_events)
+            {
+                fmt::print(
+                    "t={:.2f}s event={} server={} reporter={} reason=\"{}\"\n",
+                    std::chrono::duration<double>(this->now - start).count(),
+                    static_cast<int>(event.kind), event.server, event.reporter,
+                    event.reason);
+            }
+        }
         this->after(50ms,
                     [this]
                     {
@@ -811,6 +831,7 @@
     deployment place;
     scenario kind;
     variant chosen;
+    bool shows_events;
     std::mt19937_64 random;
     core::document document;
     core::detector home;
@@ -883,12 +904,14 @@
     {"flapping", scenario::flapping},
     {"path cut", scenario::path_cut},
     {"service slow", scenario::service_slow},
+    {"service fails", scenario::service_fails},
     {"overload", scenario::overload}};
 
 const std::vector<variant> variants{{"chosen"},
                                     {"round-robin", true},
                                     {"error-counting", false, true},
-                                    {"fifo", false, false, true}};
+                                    {"fifo", false, false, true},
+                                    {"all-baselines", true, true, true}};
 
 const std::vector<deployment> deployments{
     {"luoi-xanh", "specbook", 25, 3, 40, 1.0, 2.0},
@@ -902,10 +925,12 @@
                              "Measures routing, detection and admission");
     options.add_options()("seed", "seed of all randomness",
                           cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "policy", "chosen, round-robin, error-counting, fifo or all",
+        "policy",
+        "chosen, round-robin, error-counting, fifo, all-baselines or all",
         cxxopts::value<std::string>()->default_value("all"))(
         "scenario", "name of a scenario, or all",
-        cxxopts::value<std::string>()->default_value("all"))("help", "usage");
+        cxxopts::value<std::string>()->default_value("all"))(
+        "events", "also print the decisions of the home")("help", "usage");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0)
     {
@@ -931,7 +956,8 @@
                                   how.name == "chosen";
                 if (runs && (wanted == "all" || wanted == name))
                 {
-                    measurement run(at, kind, how, seed);
+                    measurement run(at, kind, how, seed,
+                                    parsed.count("events") != 0);
                     print_row(name, how, run.run(), kind == scenario::overload);
                 }
             }
