--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -192,6 +192,7 @@
     config::settings settings;
     core::node& node;
     send_function send;
+    std::function<void(const request_summary&)> observe;
     std::shared_ptr<asio::ssl::context> tls;
     tcp::acceptor acceptor;
     tcp::endpoint local;
@@ -259,6 +260,7 @@
     std::string route;
     std::string server;
     core::time_point began{};
+    request_summary summary;
     std::optional<core::request_id> id; ///< known to the node
     std::optional<core::attempt_result> previous;
 };
@@ -433,9 +435,16 @@
         }
         ++this->owner->counts.requests;
         this->began = core::boot_clock::now();
+        this->summary = {};
         co_await this->serve();
-        this->owner->counts.latency.add(core::boot_clock::now() - this->began);
+        this->summary.elapsed = core::boot_clock::now() - this->began;
+        this->owner->counts.latency.add(this->summary.elapsed);
         this->write_log();
+        this->summary.attempts = this->hop.attempts;
+        if (this->owner->observe)
+        {
+            this->owner->observe(this->summary);
+        }
         if (!this->caller->is_answer_whole())
         {
             this->owner->counts.answers_cut +=
@@ -614,8 +623,10 @@
     }
     ++this->hop.attempts;
     this->server = step.server.name;
+    const core::time_point sent = core::boot_clock::now();
     const core::attempt_result result = co_await this->owner->servers.attempt(
         step, this->request, this->span, *this->caller);
+    this->summary.at_server += core::boot_clock::now() - sent;
     this->previous = result;
     this->finish_attempt(result);
     if (this->caller->is_answer_whole())
@@ -662,6 +673,7 @@
     {
         co_return;
     }
+    this->summary.outcome = refusal.code;
     ++this->owner->counts.refusals[refusal.code];
     ++(refusal.outcome_unknown ? this->owner->counts.refused_unknown
                                : this->owner->counts.refused_not_run);
@@ -810,6 +822,11 @@
     this->self->check_drained();
 }
 
+void entry::on_request_end(std::function<void(const request_summary&)> observe)
+{
+    this->self->observe = std::move(observe);
+}
+
 entry_counters entry::counters() const
 {
     entry_counters copy = this->self->counts;
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -49,6 +49,15 @@
     upstream_counters servers;
 };
 
+/// A request that has ended, for metrics.
+struct request_summary
+{
+    core::result_code outcome = core::result_code::ok; ///< or the refusal's
+    core::duration elapsed{};   ///< header read to last byte written
+    core::duration at_server{}; ///< the part spent in attempts
+    unsigned attempts = 0;
+};
+
 /// HTTP status that a refusal with this code carries.
 unsigned status_of(core::result_code code) noexcept;
 
@@ -85,6 +94,9 @@
     /// become idle; then calls `drained`, once.
     void drain(std::function<void()> drained);
 
+    /// Called on the thread of the entry when a request has ended.
+    void on_request_end(std::function<void(const request_summary&)> observe);
+
     entry_counters counters() const;
 
 private:
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -157,7 +157,7 @@
     {
     }
 
-    std::error_code listen(const config::settings& settings)
+    std::error_code listen(const config::settings& settings, metrics& counts)
     {
         auto made = entry::create(this->context, settings, this->node,
                                   [this](core::outbox&& out)
@@ -169,6 +169,18 @@
             return made.error();
         }
         this->callers = std::move(*made);
+        this->callers->on_request_end(
+            [&counts](const request_summary& ended)
+            {
+                counts.request_ended(ended.outcome, ended.elapsed,
+                                     ended.elapsed - ended.at_server);
+                counts.retries(ended.attempts > 1 ? ended.attempts - 1 : 0);
+                if (ended.outcome == core::result_code::rate_exceeded ||
+                    ended.outcome == core::result_code::limit_home_unreachable)
+                {
+                    counts.limit_refused(ended.outcome);
+                }
+            });
         return this->callers->start();
     }
 
@@ -378,13 +390,68 @@
         return this->events.push(std::move(event));
     }
 
+    metrics& counters()
+    {
+        return this->counts;
+    }
+
 private:
+    // Adds what the links and the log have counted since the last scrape.
+    void count_traffic()
+    {
+        const std::uint64_t lines = log::dropped_lines();
+        this->counts.log_lines_dropped(lines - this->counted_lines);
+        this->counted_lines = lines;
+        if (!this->links)
+        {
+            return;
+        }
+        const peer_counters now = this->links->counters();
+        const auto add = [this](peer_direction direction, const auto& current,
+                                const auto& before)
+        {
+            for (std::size_t type = 0; type < message_types; ++type)
+            {
+                this->counts.peer_messages(
+                    direction, type_name(type),
+                    current[type].messages - before[type].messages,
+                    current[type].bytes - before[type].bytes);
+            }
+        };
+        add(peer_direction::sent, now.sent, this->counted_traffic.sent);
+        add(peer_direction::received, now.received,
+            this->counted_traffic.received);
+        this->counted_traffic = now;
+    }
+
+    void count_ejection(core::detection_event_kind kind)
+    {
+        switch (kind)
+        {
+        case core::detection_event_kind::ejected:
+            this->counts.ejection(ejection_event::ejected);
+            break;
+        case core::detection_event_kind::kept_by_floor:
+            this->counts.ejection(ejection_event::kept_by_floor);
+            break;
+        case core::detection_event_kind::readmitted:
+        case core::detection_event_kind::replaced:
+            this->counts.ejection(ejection_event::ended);
+            break;
+        case core::detection_event_kind::path_cut:
+        case core::detection_event_kind::reporter_cut:
+        case core::detection_event_kind::service_slow:
+            break;
+        }
+    }
+
     std::error_code open_admin()
     {
         admin_sources sources;
         sources.metrics = [this]
         {
             this->counts.set_view(this->newest.view);
+            this->count_traffic();
             return this->counts.text();
         };
         sources.ready = [this]
@@ -528,6 +595,7 @@
         this->newest = std::move(next);
         for (const core::detection_event& event : this->newest.events)
         {
+            this->count_ejection(event.kind);
             log::write(log::level::warning, name_of(event.kind),
                        {log::kv("service", event.service),
                         log::kv("server", event.server),
@@ -613,6 +681,8 @@
     std::unique_ptr<platform> client;
     std::unique_ptr<admin> operators;
     metrics counts;
+    peer_counters counted_traffic;
+    std::uint64_t counted_lines = 0;
     snapshot newest;
     bool leaving = false;
     bool finished = false;
@@ -669,7 +739,8 @@
         }
         made->control.apply_file(std::move(*source));
     }
-    if (const std::error_code failed = made->proxy.listen(settings))
+    if (const std::error_code failed =
+            made->proxy.listen(settings, made->control.counters()))
     {
         return failed;
     }
--- a/medlarbarrow/net/log.cpp
+++ b/medlarbarrow/net/log.cpp
@@ -39,7 +39,8 @@
 
 std::unique_ptr<writer> active;
 std::atomic<level> least_level{level::info};
-std::atomic<std::uint64_t> dropped_lines{0};
+std::atomic<std::uint64_t> unreported_drops{0};
+std::atomic<std::uint64_t> all_drops{0};
 
 void append_value(std::string& line, std::string_view value)
 {
@@ -106,7 +107,7 @@
     while (auto line = target.queue.wait_pop())
     {
         put(*line);
-        if (const std::uint64_t dropped = dropped_lines.exchange(0))
+        if (const std::uint64_t dropped = unreported_drops.exchange(0))
         {
             put(make_line(level::warning, "log_lines_dropped",
                           {kv("lines", dropped)}));
@@ -178,10 +179,16 @@
     if (!within_rate(*active, event) ||
         !active->queue.try_push(make_line(severity, event, fields)))
     {
-        ++dropped_lines;
+        ++unreported_drops;
+        ++all_drops;
     }
 }
 
+std::uint64_t dropped_lines()
+{
+    return all_drops;
+}
+
 bool parse_level(std::string_view name, level& parsed)
 {
     for (std::size_t index = 0; index < level_names.size(); ++index)
--- a/medlarbarrow/net/log.hpp
+++ b/medlarbarrow/net/log.hpp
@@ -2,6 +2,7 @@
 /// standard error by a thread of its own.
 #pragma once
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <initializer_list>
 #include <string>
@@ -48,6 +49,9 @@
            std::string_view event,
            std::initializer_list<field> fields);
 
+/// Lines dropped since the start.
+std::uint64_t dropped_lines();
+
 /// Name to level; false when there is no such level.
 bool parse_level(std::string_view name, level& parsed);
 
--- a/medlarbarrow/net/metrics.cpp
+++ b/medlarbarrow/net/metrics.cpp
@@ -28,26 +28,6 @@
     return std::chrono::duration<double>(value).count();
 }
 
-const char* name_of(core::order_verdict_kind verdict)
-{
-    switch (verdict)
-    {
-    case core::order_verdict_kind::run:
-        return "run";
-    case core::order_verdict_kind::answered:
-        return "answered";
-    case core::order_verdict_kind::in_progress:
-        return "in_progress";
-    case core::order_verdict_kind::unknown:
-        return "unknown";
-    case core::order_verdict_kind::not_home:
-        return "not_home";
-    case core::order_verdict_kind::in_future:
-        return "in_future";
-    }
-    return "other";
-}
-
 const char* name_of(ejection_event event)
 {
     switch (event)
@@ -143,8 +123,6 @@
     prometheus::Counter& retries =
         counters(registry, "medlar_retries_total", "Attempts after the first.")
             .Add({});
-    labelled_counters order_verdicts{registry, "medlar_order_verdicts_total",
-                                     "Answers to order claims.", "verdict"};
     labelled_counters messages_sent{registry, "medlar_peer_messages_sent_total",
                                     "Messages to other instances.", "type"};
     labelled_counters messages_received{
@@ -222,26 +200,22 @@
     this->self->ejections.add(name_of(event), 1);
 }
 
-void metrics::retry()
-{
-    this->self->retries.Increment();
-}
-
-void metrics::order_verdict(core::order_verdict_kind verdict)
+void metrics::retries(unsigned count)
 {
-    this->self->order_verdicts.add(name_of(verdict), 1);
+    this->self->retries.Increment(count);
 }
 
-void metrics::peer_message(peer_direction direction,
-                           std::string_view type,
-                           std::size_t bytes)
+void metrics::peer_messages(peer_direction direction,
+                            std::string_view type,
+                            std::uint64_t count,
+                            std::uint64_t bytes)
 {
     const bool sent = direction == peer_direction::sent;
     labelled_counters& messages =
         sent ? this->self->messages_sent : this->self->messages_received;
     prometheus::Counter& volume =
         sent ? this->self->bytes_sent : this->self->bytes_received;
-    messages.add(type, 1);
+    messages.add(type, static_cast<double>(count));
     volume.Increment(static_cast<double>(bytes));
 }
 
--- a/medlarbarrow/net/metrics.hpp
+++ b/medlarbarrow/net/metrics.hpp
@@ -50,13 +50,13 @@
     void limit_refused(core::result_code reason);
 
     void ejection(ejection_event event);
-    void retry();
-    void order_verdict(core::order_verdict_kind verdict);
+    void retries(unsigned count);
 
-    /// One message between instances; `type` is the name of its structure.
-    void peer_message(peer_direction direction,
-                      std::string_view type,
-                      std::size_t bytes);
+    /// Messages between instances; `type` is the name of their structure.
+    void peer_messages(peer_direction direction,
+                       std::string_view type,
+                       std::uint64_t messages,
+                       std::uint64_t bytes);
 
     void log_lines_dropped(std::uint64_t lines);
 
