--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -115,19 +115,6 @@
     return head + "\r\n";
 }
 
-/// Next part of the request body; an empty last one without a body.
-asio::awaitable<body_part> next_part(caller_port& caller,
-                                     const checked_request& request,
-                                     std::uint64_t position,
-                                     const bool& stopped)
-{
-    if (!request.has_body())
-    {
-        co_return body_part{{}, true, false};
-    }
-    co_return co_await caller.read_body(position, stopped);
-}
-
 bool says_not_run(const http::response_header<>& header)
 {
     return header.result_int() == 503 && header["Medlar-Not-Run"] == "1";
@@ -511,7 +498,7 @@
     do
     {
         const body_part part =
-            co_await next_part(*caller, request, position, run->stopped);
+            co_await caller->read_body(position, run->stopped);
         last = part.last;
         if (part.failed)
         {
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -41,7 +41,8 @@
     caller_port& operator=(const caller_port&) = delete;
     virtual ~caller_port() = default;
 
-    /// Body from `position` on, waiting for it when necessary. Returns early
+    /// Body from `position` on, waiting for it when necessary; empty and last
+    /// for a request without a body. Returns early
     /// after wake() when `stopped` is true.
     virtual asio::awaitable<body_part> read_body(std::uint64_t position,
                                                  const bool& stopped) = 0;
