Take a seed's answers over any link to it

An instance without a list refused document and list when the seed had opened the first link, so it could not restart while the platform was away.

--- a/medlarbarrow/net/peers.cpp
+++ b/medlarbarrow/net/peers.cpp
@@ -10,6 +10,7 @@
 #include <medlarbarrow/net/peer_link.hpp>
 #include <medlarbarrow/net/peers.hpp>
 #include <optional>
+#include <set>
 #include <sstream>
 
 namespace medlarbarrow::net
@@ -188,6 +189,9 @@
     std::map<const peer_link*, link_record> links;
     std::multimap<std::string, peer_link*, std::less<>> open_links;
     std::map<std::string, std::uint64_t, std::less<>> newest_runs;
+    /// Names at the seeds' addresses. A seed may answer over a link that it
+    /// opened itself, to an instance that has no list yet.
+    std::set<std::string, std::less<>> seed_names;
     peer_counters counters;
     bool closed = false;
 };
@@ -447,6 +451,10 @@
     this->close_older_runs(peer);
     this->open_links.emplace(peer.name, &link);
     ++this->counters.links_open;
+    if (this->links.at(&link).is_seed)
+    {
+        this->seed_names.insert(peer.name);
+    }
     if (const auto target = this->links.at(&link).target.lock())
     {
         target->retry.reset();
@@ -524,7 +532,7 @@
         return result_code::peer_older_incarnation;
     }
     const bool known = this->listed.contains(received.sender.name) ||
-                       this->links.at(&link).is_seed;
+                       this->seed_names.contains(received.sender.name);
     if (!known && !is_open_to_strangers(received.message))
     {
         return result_code::peer_unknown;
