--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -287,6 +287,34 @@
         }));
 }
 
+// Guards against a joining instance that refuses its seed's answers because
+// the seed opened the first link between them.
+TEST_F(two_listed_instances, a_seed_is_heard_over_a_link_that_it_opened)
+{
+    config::settings settings = settings_with(fleet_secret);
+    settings.seeds = {{"127.0.0.1", this->first->links->port()}};
+    auto joiner = this->start("joiner", 5, settings);
+    this->first->links->set_instances(list({this->second.get(), joiner.get()}));
+    this->first->links->send(to("joiner", core::hello{"dc", 1, 1, false}));
+    ASSERT_TRUE(this->wait_for(
+        [&joiner]
+        {
+            return joiner->inbox.size() == 1;
+        }));
+    joiner->links->send(to("", core::hello{"dc", 0, 0, false}));
+    ASSERT_TRUE(this->wait_for(
+        [this]
+        {
+            return this->first->inbox.size() == 1;
+        }));
+    this->first->links->send(to("joiner", core::list_copy{1, "text"}));
+    EXPECT_TRUE(this->wait_for(
+        [&joiner]
+        {
+            return joiner->inbox.size() == 2;
+        }));
+}
+
 // Guards against links between fleets, or with a process without the secret.
 TEST_F(two_listed_instances, a_peer_with_another_secret_is_refused)
 {
