Test keys from the future by the rule now in force

The earlier test expected in_future from one skew on; the new one checks both bounds and that nothing beyond one skew runs.

--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -117,12 +117,17 @@
               core::order_identity("a", "s", "01ab"));
 }
 
-// Guards against a key from a clock that is ahead: a later home would take it
-// for one created after its knowledge had started.
+// Guards against a run of a key from a clock that is ahead, which a later home
+// would take for one created after its knowledge had started; and against "not
+// run" for a key that an earlier home, ahead by the skew, may have let run.
 TEST_F(lone_home, refuses_a_key_from_the_future)
 {
-    EXPECT_EQ(this->claim(first, 1, milliseconds(-2001)).kind,
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-4001)).kind,
               order_verdict_kind::in_future);
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-4000)).kind,
+              order_verdict_kind::in_progress);
+    EXPECT_EQ(this->claim(first, 1, milliseconds(-2001)).kind,
+              order_verdict_kind::in_progress);
     EXPECT_EQ(this->claim(first, 2, milliseconds(-2000)).kind,
               order_verdict_kind::run);
 }
