--- a/medlarbarrow/core/node.cpp
+++ b/medlarbarrow/core/node.cpp
@@ -2,6 +2,7 @@
 #include <medlarbarrow/core/hash.hpp>
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/node_state.hpp>
+#include <medlarbarrow/core/overloaded.hpp>
 
 namespace medlarbarrow::core
 {
@@ -19,12 +20,6 @@
 
 constexpr duration capacity_update_period = std::chrono::milliseconds(500);
 
-template <class... Handlers>
-struct overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-
 std::shared_ptr<const account_limits> limits_of(const document& source)
 {
     auto limits = std::make_shared<account_limits>();
--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -23,7 +23,9 @@
 constexpr unsigned status_unavailable = 503;
 
 /// What an attempt says about its server.
-work_outcome outcome_of(const attempt_result& result)
+work_outcome outcome_of(const attempt_result& result,
+                        duration allowed,
+                        duration typical_latency)
 {
     switch (result.end)
     {
@@ -37,7 +39,7 @@
     case attempt_end::refused_not_run:
         return work_outcome::shed;
     case attempt_end::timed_out:
-        return work_outcome::timed_out;
+        return outcome_of_timeout(allowed, typical_latency);
     case attempt_end::caller_gone:
         return work_outcome::abandoned;
     case attempt_end::not_sent:
@@ -106,6 +108,7 @@
         return step_refuse{result_code::account_not_allowed, false, {}};
     }
     request.account = found.account->name;
+    request.weight = std::max(found.account->rate_per_second, 1.0);
     return std::nullopt;
 }
 
@@ -341,9 +344,10 @@
     }
     const std::string& service = request.matched->service;
     admission_queue& queue = this->queue_of(service);
-    const push_result pushed = queue.push(
-        {id, request.account, request.matched->priority, request.deadline},
-        now.monotonic);
+    const push_result pushed =
+        queue.push({id, request.account, request.matched->priority,
+                    request.deadline, request.weight},
+                   now.monotonic);
     if (pushed.code != result_code::ok)
     {
         return this->refuse(request, pushed.code,
@@ -406,6 +410,7 @@
     }
     ++request.attempts;
     request.server = choice->server.name;
+    request.sent = now.monotonic;
     request.newest_result.reset();
     request.crash_permitted.reset();
     request.phase = request_phase::running;
@@ -423,7 +428,10 @@
                                    outbox& out)
 {
     const std::string& service = request.matched->service;
-    const work_outcome work = outcome_of(outcome);
+    const work_outcome work =
+        outcome_of(outcome, request.deadline - request.sent,
+                   this->servers.typical_latency(service));
+    request.work = work;
     request.newest_result = outcome;
     request.phase = request_phase::ended;
     request.tried.push_back(request.server);
@@ -513,8 +521,8 @@
     switch (decide_retry(facts, this->budgets[service], now.monotonic))
     {
     case retry_decision::retry:
-        this->queue_of(service).attempt_ended(outcome_of(outcome),
-                                              outcome.latency, now.monotonic);
+        this->queue_of(service).attempt_ended(request.work, outcome.latency,
+                                              now.monotonic);
         request.phase = request_phase::ready;
         return std::nullopt;
     case retry_decision::ask_crash_home:
@@ -589,12 +597,9 @@
     }
     if (request.admitted)
     {
-        const bool has_result = request.newest_result.has_value();
-        this->queue_of(service).completed(
-            has_result ? outcome_of(*request.newest_result)
-                       : work_outcome::abandoned,
-            has_result ? request.newest_result->latency : duration{},
-            now.monotonic);
+        const duration latency =
+            request.newest_result ? request.newest_result->latency : duration{};
+        this->queue_of(service).completed(request.work, latency, now.monotonic);
     }
     else if (request.phase == request_phase::queued)
     {
--- a/medlarbarrow/core/node_state.hpp
+++ b/medlarbarrow/core/node_state.hpp
@@ -57,6 +57,7 @@
     std::shared_ptr<const document> source;
     const route* matched = nullptr;
     std::string account;
+    double weight = 1.0;                   ///< in the queue: the account's rate
     std::optional<time_point> token_asked; ///< first call for a token
     time_point deadline{};
     request_phase phase = request_phase::limit;
@@ -69,6 +70,8 @@
     std::string server;
     std::uint32_t attempts = 0;
     std::optional<attempt_result> newest_result;
+    time_point sent{};
+    work_outcome work = work_outcome::abandoned; ///< of the newest attempt
     std::optional<bool> crash_permitted;
     time_point crash_answer_until{};
 };
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -7,6 +7,7 @@
 #include <medlarbarrow/config/document.hpp>
 #include <medlarbarrow/core/detection.hpp>
 #include <medlarbarrow/core/node.hpp>
+#include <medlarbarrow/core/overloaded.hpp>
 #include <medlarbarrow/core/spread.hpp>
 #include <medlarbarrow/net/admin.hpp>
 #include <medlarbarrow/net/codec.hpp>
@@ -74,12 +75,6 @@
 using control_event =
     std::variant<core::outgoing, snapshot, all_requests_finished>;
 
-template <class... Handlers>
-struct overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-
 core::instant read_clocks()
 {
     return {core::boot_clock::now(),
@@ -214,28 +209,28 @@
     {
         const core::instant now = read_clocks();
         std::visit(
-            overloaded{[&](peer_message& item)
-                       {
-                           auto out =
-                               this->node.receive(item.from, item.message, now);
-                           if (out)
-                           {
-                               this->send(*out);
-                           }
-                       },
-                       [&](std::shared_ptr<const core::document>& item)
-                       {
-                           this->callers->apply_document(*item);
-                           this->node.apply_document(std::move(item), now);
-                       },
-                       [&](core::instance_list& item)
-                       {
-                           this->node.apply_list(item, now);
-                       },
-                       [&](stop_serving&)
-                       {
-                           this->drain(now);
-                       }},
+            core::overloaded{
+                [&](peer_message& item)
+                {
+                    auto out = this->node.receive(item.from, item.message, now);
+                    if (out)
+                    {
+                        this->send(*out);
+                    }
+                },
+                [&](std::shared_ptr<const core::document>& item)
+                {
+                    this->callers->apply_document(*item);
+                    this->node.apply_document(std::move(item), now);
+                },
+                [&](core::instance_list& item)
+                {
+                    this->node.apply_list(item, now);
+                },
+                [&](stop_serving&)
+                {
+                    this->drain(now);
+                }},
             event);
         this->callers->notify_changed();
     }
@@ -345,11 +340,13 @@
                                   const std::error_code refused =
                                       this->distribution.accept_list(
                                           next, core::boot_clock::now(), out);
-                                  this->send(out);
+                                  // In force first: announcements go to new
+                                  // instances too.
                                   if (!refused)
                                   {
                                       this->put_list_in_force(next);
                                   }
+                                  this->send(out);
                               }});
         if (!client)
         {
@@ -489,7 +486,7 @@
                    {log::kv("peer", from.name),
                     log::kv("type", type_name(incoming.index()))});
         std::visit(
-            overloaded{
+            core::overloaded{
                 [&](const core::hello& item)
                 {
                     out = this->distribution.receive(from, item, now);
@@ -571,22 +568,22 @@
 
     void handle(control_event& event)
     {
-        std::visit(overloaded{[this](core::outgoing& item)
-                              {
-                                  if (this->links)
-                                  {
-                                      this->links->send(std::move(item));
-                                  }
-                              },
-                              [this](snapshot& item)
-                              {
-                                  this->publish(std::move(item));
-                              },
-                              [this](all_requests_finished&)
-                              {
-                                  this->finished = true;
-                                  this->end_after(farewell_time);
-                              }},
+        std::visit(core::overloaded{[this](core::outgoing& item)
+                                    {
+                                        if (this->links)
+                                        {
+                                            this->links->send(std::move(item));
+                                        }
+                                    },
+                                    [this](snapshot& item)
+                                    {
+                                        this->publish(std::move(item));
+                                    },
+                                    [this](all_requests_finished&)
+                                    {
+                                        this->finished = true;
+                                        this->end_after(farewell_time);
+                                    }},
                    event);
     }
 
