--- a/medlarbarrow/core/node.cpp
+++ b/medlarbarrow/core/node.cpp
@@ -474,7 +474,10 @@
 bool node::ready(time_point now) const
 {
     const state& current = *this->self;
-    return current.in_force != nullptr && !current.stopping &&
+    const std::string& name = current.settings.self.name;
+    const bool listed = std::find(current.live.begin(), current.live.end(),
+                                  name) != current.live.end();
+    return current.in_force != nullptr && listed && !current.stopping &&
            !current.observations.reporter_cut(now);
 }
 
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -175,8 +175,9 @@
     std::string account_of(request_id request) const;
     std::string route_of(request_id request) const;
 
-    /// True while healthy servers can be reached and a document is in force;
-    /// the balancer is told.
+    /// True while a document is in force, the list names this instance as live
+    /// (peers grant tokens to listed instances only) and no home says that it
+    /// is cut off from its servers; the balancer is told.
     bool ready(time_point now) const;
 
     node_view view(time_point now) const;
--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -191,7 +191,7 @@
         case request_phase::running:
             return step_wait{request.deadline};
         case request_phase::ended:
-            following = this->after_attempt(request, now, out);
+            following = this->after_attempt(request, now);
             break;
         case request_phase::crash:
             following = this->wait_for_crash_home(request, now);
@@ -503,10 +503,9 @@
                                   std::nullopt, claim.nonce}});
 }
 
-std::optional<step>
-node::state::after_attempt(request_state& request, instant now, outbox& out)
+std::optional<step> node::state::after_attempt(request_state& request,
+                                               instant now)
 {
-    static_cast<void>(out);
     const attempt_result& outcome = *request.newest_result;
     const std::string& service = request.matched->service;
     retry_facts facts;
--- a/medlarbarrow/core/node_state.hpp
+++ b/medlarbarrow/core/node_state.hpp
@@ -95,8 +95,7 @@
     enter_queue(request_id id, request_state& request, instant now);
     std::optional<step> wait_in_queue(request_state& request, instant now);
     std::optional<step> send(request_state& request, instant now);
-    std::optional<step>
-    after_attempt(request_state& request, instant now, outbox& out);
+    std::optional<step> after_attempt(request_state& request, instant now);
     std::optional<step> wait_for_crash_home(request_state& request,
                                             instant now);
     step refuse(const request_state& request,
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -59,7 +59,7 @@
   exit 1
 fi
 for port in 8081 8082; do
-  curl -fsS -i -H 'Authorization: Bearer example-key-shop' \
+  curl -fsS -i --retry 5 -H 'Authorization: Bearer example-key-shop' \
     "http://127.0.0.1:$port/salinity/today"
   echo
 done
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -217,6 +217,15 @@
     }
 }
 
+// Guards against a balancer that sends callers to an instance whose peers do
+// not know it yet and grant it no tokens.
+TEST_F(small_fleet, an_instance_is_ready_only_when_it_is_listed)
+{
+    EXPECT_TRUE(this->nodes.at("entry-1")->ready(this->now.monotonic));
+    this->start("entry-4", 1);
+    EXPECT_FALSE(this->nodes.at("entry-4")->ready(this->now.monotonic));
+}
+
 // Guards against a key that still works after its withdrawal, also for a
 // request that was waiting at that moment.
 TEST_F(small_fleet, a_withdrawn_key_stops_with_the_next_document)
