Fix a double free when an order's stored answer is repeated

Cause: g++ 12 destroys the string that a conditional expression copies inside a co_await argument twice. Found by the address sanitizer in fleet_test, a_paused_instance_wakes_without_doubling: two of three instances ended, and orders stopped for want of a majority. Ruled out: the ownership protocol and the test. Before: double free at the end of entry replay(); after: the new entry_test case repeats_the_first_answer_of_an_order passes.

--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -702,8 +702,11 @@
     {
         head.length = answer.body.size();
     }
-    co_await this->caller->write_head(
-        head, head.has_body ? answer.body : std::string(), true);
+    // A named value: g++ 12 destroys a string that a conditional expression
+    // copies inside co_await twice.
+    const std::string_view body =
+        head.has_body ? std::string_view(answer.body) : std::string_view();
+    co_await this->caller->write_head(head, body, true);
 }
 
 // Releases a request that the node still knows.
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -169,7 +169,13 @@
         open.name = "guides";
         open.path_prefix = "/guides";
         open.access = core::route_access::open;
-        this->document->routes = {reports, open};
+        core::route orders = reports;
+        orders.name = "orders";
+        orders.path_prefix = "/orders";
+        orders.repeatable = false;
+        this->document->routes = {reports, open, orders};
+        // Orders are taken twice this time after the first majority.
+        this->document->fleet.clock_skew = std::chrono::milliseconds(20);
     }
 
     ~entry_fixture() override
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -1,6 +1,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <tests/entry_fixture.hpp>
+#include <tests/order_key.hpp>
 
 using namespace medlarbarrow;
 using namespace medlarbarrow::tests;
@@ -400,6 +401,33 @@
     EXPECT_TRUE(second.is_closed()); // by the idle timeout
 }
 
+// Guards against a stored answer that is freed twice, which ended instances
+// that repeated an order's answer.
+TEST_F(entry_with_a_healthy_server, repeats_the_first_answer_of_an_order)
+{
+    std::string key;
+    unsigned number = 0;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            key = order_key(now().wall, ++number);
+            return caller(this->port())
+                       .ask(post("/orders", "drums",
+                                 "Idempotency-Key: " + key + "\r\n"))
+                       .status() == 200U;
+        }));
+    const std::size_t executions = this->backend->journal().size();
+    for (int round = 0; round < 3; ++round)
+    {
+        const answer again = caller(this->port())
+                                 .ask(post("/orders", "drums",
+                                           "Idempotency-Key: " + key + "\r\n"));
+        EXPECT_EQ(again.status(), 200U);
+        EXPECT_FALSE(again.message.body().empty());
+    }
+    EXPECT_EQ(this->backend->journal().size(), executions);
+}
+
 // Guards against requests that a graceful end interrupts.
 TEST_F(entry_that_drains, finishes_every_request)
 {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,6 @@
 /// Failures over real processes on loopback: three instances, a stand-in of the
 /// platform and stand-ins of backend servers.
+#include "order_key.hpp"
 #include "process.hpp"
 
 #include <algorithm>
@@ -84,11 +85,10 @@
 
 std::string make_order_key()
 {
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    const auto stamp = static_cast<std::uint64_t>(now.count());
-    return fmt::format("{:08x}-{:04x}-7000-8000-{:012x}", stamp >> 16U,
-                       stamp & 0xffffU, ++order_number);
+    return tests::order_key(
+        std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now()),
+        ++order_number);
 }
 
 std::string order(const std::string& key, const std::string& query = "")
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,3 +1,5 @@
+#include "order_key.hpp"
+
 #include <gtest/gtest.h>
 #include <map>
 #include <medlarbarrow/core/detection.hpp>
@@ -12,17 +14,6 @@
 constexpr key_digest shop_key{1};
 constexpr wall_time wall_start{std::chrono::milliseconds(1'800'000'000'000)};
 
-/// UUID version 7 that was created at `created`.
-std::string uuid7(wall_time created, unsigned number)
-{
-    char text[64];
-    const auto stamp =
-        static_cast<unsigned long long>(created.time_since_epoch().count());
-    std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x",
-                  stamp >> 16U, stamp & 0xffffU, number);
-    return text;
-}
-
 std::shared_ptr<document> make_document()
 {
     auto made = std::make_shared<document>();
@@ -174,7 +165,8 @@
     {
         request_facts facts = get("/orders");
         facts.method = "POST";
-        facts.idempotency_key = uuid7(this->now.wall, number);
+        facts.idempotency_key =
+            medlarbarrow::tests::order_key(this->now.wall, number);
         return facts;
     }
 
