--- a/medlarbarrow/core/accounts.cpp
+++ b/medlarbarrow/core/accounts.cpp
@@ -40,8 +40,8 @@
     }
 }
 
-// A key that is withdrawn at one account and valid at another counts as valid
-// there, so that operators can move a key.
+// The document checker refuses a key at two accounts unless both withdrew it; a
+// valid entry still goes before a withdrawn one, so that order does not matter.
 account_index::match account_index::find(const key_digest& digest) const
 {
     match best;
