--- a/medlarbarrow/config/settings.cpp
+++ b/medlarbarrow/config/settings.cpp
@@ -170,16 +170,26 @@
     return target;
 }
 
-checked<settings> load_settings(const std::string& path)
+std::optional<std::string> read_file(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf()))
+    {
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+checked<settings> load_settings(const std::string& path)
+{
+    const auto text = read_file(path);
+    if (!text)
     {
         return problems{make_error_code(core::result_code::file_unreadable),
                         {{"", path + " cannot be read"}}};
     }
-    return parse_settings(text.str());
+    return parse_settings(*text);
 }
 
 } // namespace medlarbarrow::config
--- a/medlarbarrow/config/settings.hpp
+++ b/medlarbarrow/config/settings.hpp
@@ -55,6 +55,9 @@
     std::string log_level = "info";
 };
 
+/// The whole of a file; nothing when it cannot be read.
+std::optional<std::string> read_file(const std::string& path);
+
 /// Reads settings from JSON text. Unknown members, wrong types and values out
 /// of range are reported with their path and what is accepted. Code of a
 /// failure: settings_invalid.
--- /dev/null
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -0,0 +1,73 @@
+/// Messages between the instances of a fleet without a list of its members.
+/// Each is one datagram.
+#pragma once
+
+#include <medlarbarrow/core/membership.hpp>
+#include <medlarbarrow/core/placement.hpp>
+#include <medlarbarrow/core/quota.hpp>
+#include <variant>
+
+namespace medlarbarrow::core
+{
+
+/// Exchange of what two instances know of the others.
+struct gossip
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0; ///< newest of what is published, as known here
+    bool wants_reply = false;
+    bool leaving = false;
+    std::vector<member_report> members;
+};
+
+/// Asks the home of an account for one request.
+struct admit_call
+{
+    std::uint64_t number = 0;
+    std::string account;
+};
+
+struct admit_reply
+{
+    std::uint64_t number = 0;
+    bool known = false; ///< the home knows the account
+    quota_answer answer;
+};
+
+/// Asks the home of a service for a server. The grant's instance number is the
+/// caller's incarnation; the receiver adds the address.
+struct place_call
+{
+    std::string service;
+    place_request asked;
+};
+
+struct place_reply
+{
+    std::uint64_t number = 0; ///< of the grant
+    place_answer answer;
+};
+
+/// Tells the home how a granted send ended. `took` is zero without an answer.
+struct done_call
+{
+    std::string service;
+    grant_id grant;
+    send_outcome outcome = send_outcome::cancelled;
+    duration took{};
+};
+
+struct done_reply
+{
+    std::uint64_t number = 0;
+};
+
+using fleet_message = std::variant<gossip,
+                                   admit_call,
+                                   admit_reply,
+                                   place_call,
+                                   place_reply,
+                                   done_call,
+                                   done_reply>;
+
+} // namespace medlarbarrow::core
--- a/medlarbarrow/core/model.hpp
+++ b/medlarbarrow/core/model.hpp
@@ -70,6 +70,13 @@
     high
 };
 
+/// Part of a route's traffic.
+struct weighted_service
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
 struct route
 {
     std::string name;
@@ -83,6 +90,21 @@
     std::chrono::milliseconds deadline{5000};
     std::uint64_t max_body_bytes = 64ULL << 20U;
     std::vector<std::string> accounts; ///< empty: every client account
+    /// Time within which an answer is worth most; zero: the deadline.
+    std::chrono::milliseconds latency_objective{0};
+    std::uint32_t max_attempts = 2; ///< servers that one request may be sent to
+    std::uint32_t rank = 0;         ///< order of urgency, 0 first
+    /// Services that share the requests by weight; empty: `service` alone.
+    std::vector<weighted_service> split;
+};
+
+/// Bounds that a document sets for callers of every route.
+struct caller_limits
+{
+    std::uint32_t max_header_bytes = 16384;
+    std::uint64_t max_body_bytes = 64ULL << 20U;
+    std::chrono::milliseconds header_timeout{10000};
+    std::chrono::milliseconds idle_timeout{60000};
 };
 
 using key_digest = std::array<std::uint8_t, 32>; ///< SHA-256 of a key
@@ -99,6 +121,8 @@
     double rate_per_second = 0.0; ///< requests per second, fleet-wide
     double burst = 0.0;           ///< requests, fleet-wide
     std::vector<account_key> keys;
+    /// Order of urgency of its requests, instead of the route's.
+    std::optional<std::uint32_t> rank;
 };
 
 struct fleet_policy
@@ -119,6 +143,7 @@
     std::vector<service> services;
     std::vector<route> routes;
     std::vector<client_account> accounts;
+    std::optional<caller_limits> limits; ///< absent: those of the settings
 };
 
 /// One line of the platform's list of instances.
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -69,6 +69,9 @@
     bool keep_answer = false;      ///< orders: pass a small answer to finish()
     time_point deadline{};
     std::uint32_t attempt = 1;
+    /// Only the server of this name may run it; another one at the same address
+    /// refuses. Empty: whichever answers.
+    std::string expected_server{};
 };
 
 /// The answer has been passed on; forget the request.
--- a/medlarbarrow/net/admin.cpp
+++ b/medlarbarrow/net/admin.cpp
@@ -92,24 +92,32 @@
     }
     const std::string_view target = asked.target();
     const std::string_view path = target.substr(0, target.find('?'));
-    if (path == "/metrics")
+    if (path == "/metrics" && this->sources.metrics)
     {
         return make_response(http::status::ok,
                              "text/plain; version=0.0.4; charset=utf-8",
                              this->sources.metrics(), asked);
     }
-    if (path == "/ready")
+    if (path == this->sources.ready_path)
     {
         const bool ready = this->sources.ready();
         return make_response(ready ? http::status::ok
                                    : http::status::service_unavailable,
                              text, ready ? "ready\n" : "not ready\n", asked);
     }
-    if (path == "/status")
+    if (path == "/status" && this->sources.status)
     {
         return make_response(http::status::ok, "application/json",
                              this->sources.status(), asked);
     }
+    if (this->sources.other)
+    {
+        if (auto body = this->sources.other(target))
+        {
+            return make_response(http::status::ok, "application/json",
+                                 std::move(*body), asked);
+        }
+    }
     return make_response(http::status::not_found, text,
                          "paths: /metrics, /ready, /status\n", asked);
 }
--- a/medlarbarrow/net/admin.hpp
+++ b/medlarbarrow/net/admin.hpp
@@ -10,7 +10,9 @@
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/types.hpp>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace medlarbarrow::net
 {
@@ -22,6 +24,9 @@
     std::function<std::string()> metrics; ///< Prometheus text format
     std::function<bool()> ready;
     std::function<std::string()> status; ///< JSON, see format_status()
+    /// JSON for other targets; nothing when there is none. May be empty.
+    std::function<std::optional<std::string>(std::string_view target)> other{};
+    std::string ready_path = "/ready";
 };
 
 /// Bounds of the listener: operators and one scraper need few connections.
--- /dev/null
+++ b/medlarbarrow/net/fleet.cpp
@@ -0,0 +1,872 @@
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/net/fleet.hpp>
+#include <medlarbarrow/net/fleet_codec.hpp>
+#include <medlarbarrow/net/log.hpp>
+
+namespace medlarbarrow::net
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using error_code = boost::system::error_code;
+using std::chrono::milliseconds;
+
+/// Time after which a call without an answer is made again, and how often to
+/// one home.
+constexpr milliseconds call_repeat{60};
+constexpr unsigned calls_per_home = 2;
+constexpr std::size_t homes_asked = 2;
+
+/// A queued request asks again, since the answer may be lost.
+constexpr milliseconds queued_repeat{300};
+
+constexpr milliseconds done_repeat{150};
+constexpr unsigned done_repeats = 4;
+
+constexpr milliseconds gossip_period{500};
+/// Until an instance knows another one.
+constexpr milliseconds join_period{100};
+constexpr std::size_t gossip_entries = 12;
+/// Entries for an instance that asks for the first time.
+constexpr std::size_t join_entries = 64;
+/// Rounds of gossip between messages to a seed; they join fleets that a
+/// partition has separated for long.
+constexpr unsigned seed_rounds = 4;
+constexpr unsigned announce_peers = 4;
+
+constexpr milliseconds home_tick{25};
+
+core::time_point now()
+{
+    return core::boot_clock::now();
+}
+
+} // namespace
+
+struct fleet::state
+{
+    struct place_call_state
+    {
+        std::string service;
+        core::place_request asked;
+        place_handler done;
+        core::time_point asked_at{};
+        std::vector<core::instance_address> homes;
+        std::size_t home = 0; ///< index into homes
+        unsigned calls = 0;   ///< to this home without an answer
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    struct admit_call_state
+    {
+        std::string account;
+        admit_handler done;
+        core::instance_address home = 0;
+        unsigned calls = 0;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    struct granted_state
+    {
+        std::string service;
+        core::instance_address home = 0;
+    };
+
+    struct done_state
+    {
+        core::done_call message;
+        core::instance_address home = 0;
+        unsigned calls = 0;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    /// Home duty for one service.
+    struct duty
+    {
+        core::placement decisions;
+        std::uint64_t registry_version = 0;
+    };
+
+    state(asio::io_context& context,
+          const fleet_settings& chosen,
+          const core::server_registry& known,
+          fleet_sources from,
+          core::instance_address address)
+        : io(context), settings(chosen), servers(known),
+          sources(std::move(from)), own(address),
+          instance(std::uint64_t{address} << 32U |
+                   (chosen.incarnation & 0xffffffffU)),
+          members(address, chosen.incarnation, chosen.incarnation ^ address),
+          socket(context), gossip_timer(context), home_timer(context)
+    {
+    }
+
+    udp::endpoint endpoint_of(core::instance_address address) const;
+    void send(core::instance_address to, const core::fleet_message& message);
+    void receive();
+    void handle(core::instance_address from,
+                const core::fleet_message& message);
+    void on(core::instance_address from, const core::gossip& message);
+    void on(core::instance_address from, const core::admit_call& message);
+    void on(core::instance_address from, const core::admit_reply& message);
+    void on(core::instance_address from, const core::place_call& message);
+    void on(core::instance_address from, const core::place_reply& message);
+    void on(core::instance_address from, const core::done_call& message);
+    void on(core::instance_address from, const core::done_reply& message);
+
+    core::gossip make_gossip(bool wants_reply, std::size_t entries);
+    void gossip_round();
+    std::optional<core::instance_address> next_seed();
+    void set_seeds(const std::vector<std::string>& addresses);
+
+    duty& duty_of(const std::string& service);
+    void refresh(duty& home, const std::string& service);
+    core::place_answer decide(const std::string& service,
+                              const core::place_request& asked);
+    void answer(const core::grant_id& grant, const core::place_answer& answer);
+    void run_duty(const std::string& service, duty& home);
+    void arm_home_timer();
+
+    void call_home(std::uint64_t number);
+    void place_unanswered(std::uint64_t number);
+    void finish_place(std::uint64_t number, const core::place_answer& answer);
+    void wait_for(asio::steady_timer& timer,
+                  milliseconds time,
+                  std::function<void()> then);
+
+    void call_account_home(std::uint64_t number);
+    void finish_admit(std::uint64_t number, const core::quota_answer& answer);
+    core::quota_answer admit_here(const std::string& account, double share);
+
+    void send_done(std::uint64_t number);
+
+    asio::io_context& io;
+    fleet_settings settings;
+    const core::server_registry& servers;
+    fleet_sources sources;
+    core::instance_address own;
+    std::uint64_t instance; ///< this start, in grants
+    core::membership members;
+    core::quota_home quotas;
+    udp::socket socket;
+    udp::endpoint sender;
+    std::array<std::uint8_t, greatest_datagram> input{};
+    asio::steady_timer gossip_timer;
+    asio::steady_timer home_timer;
+    bool home_timer_armed = false;
+    std::vector<core::instance_address> seeds;
+    std::size_t seed_index = 0;
+    unsigned rounds = 0;
+    bool leaving = false;
+    std::uint64_t last_number = 0;
+    std::map<std::uint64_t, place_call_state> places;
+    std::map<std::uint64_t, granted_state> grants;
+    std::map<std::uint64_t, admit_call_state> admits;
+    std::map<std::uint64_t, done_state> ends;
+    std::map<std::string, duty> duties;
+    fleet_counters counts;
+};
+
+udp::endpoint fleet::state::endpoint_of(core::instance_address address) const
+{
+    return {asio::ip::address_v4(address), this->settings.self.port};
+}
+
+// A full socket buffer loses the datagram, as the network may: every call is
+// repeated.
+void fleet::state::send(core::instance_address to,
+                        const core::fleet_message& message)
+{
+    const std::vector<std::uint8_t> bytes = encode_message(message);
+    if (bytes.size() > greatest_datagram)
+    {
+        log::write(log::level::warning, "datagram_too_large",
+                   {log::kv("bytes", bytes.size())});
+        return;
+    }
+    error_code failure;
+    this->socket.send_to(asio::buffer(bytes), this->endpoint_of(to), 0,
+                         failure);
+    ++this->counts.datagrams_sent;
+    this->counts.bytes_sent += bytes.size();
+}
+
+void fleet::state::receive()
+{
+    this->socket.async_receive_from(
+        asio::buffer(this->input), this->sender,
+        [this](error_code failure, std::size_t count)
+        {
+            if (failure == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!failure && this->sender.address().is_v4())
+            {
+                ++this->counts.datagrams_received;
+                const auto message = decode_message(
+                    std::span<const std::uint8_t>(this->input.data(), count));
+                if (message)
+                {
+                    this->handle(this->sender.address().to_v4().to_uint(),
+                                 *message);
+                }
+                else
+                {
+                    ++this->counts.datagrams_invalid;
+                }
+            }
+            this->receive();
+        });
+}
+
+void fleet::state::handle(core::instance_address from,
+                          const core::fleet_message& message)
+{
+    std::visit(
+        [this, from](const auto& chosen)
+        {
+            this->on(from, chosen);
+        },
+        message);
+}
+
+core::gossip fleet::state::make_gossip(bool wants_reply, std::size_t entries)
+{
+    core::gossip message;
+    message.incarnation = this->settings.incarnation;
+    message.revision = this->sources.revision();
+    message.wants_reply = wants_reply;
+    message.leaving = this->leaving;
+    message.members = this->members.reports(entries, now());
+    return message;
+}
+
+void fleet::state::set_seeds(const std::vector<std::string>& addresses)
+{
+    this->seeds.clear();
+    for (const std::string& text : addresses)
+    {
+        error_code failure;
+        const auto seed = asio::ip::make_address_v4(text, failure);
+        if (!failure && seed.to_uint() != this->own)
+        {
+            this->seeds.push_back(seed.to_uint());
+        }
+    }
+}
+
+std::optional<core::instance_address> fleet::state::next_seed()
+{
+    if (this->seeds.empty())
+    {
+        return std::nullopt;
+    }
+    this->seed_index = (this->seed_index + 1) % this->seeds.size();
+    return this->seeds[this->seed_index];
+}
+
+void fleet::state::gossip_round()
+{
+    this->members.tick(now());
+    const auto peer = this->members.random_peer(now());
+    const bool alone = !peer.has_value();
+    if (peer)
+    {
+        this->send(*peer, this->make_gossip(true, gossip_entries));
+    }
+    if (alone || ++this->rounds % seed_rounds == 0)
+    {
+        if (const auto seed = this->next_seed())
+        {
+            this->send(*seed, this->make_gossip(true, gossip_entries));
+        }
+    }
+    const milliseconds period = alone ? join_period : gossip_period;
+    this->wait_for(this->gossip_timer, period,
+                   [this]
+                   {
+                       this->gossip_round();
+                   });
+}
+
+void fleet::state::on(core::instance_address from, const core::gossip& message)
+{
+    if (message.leaving)
+    {
+        this->members.left(from, message.incarnation, now());
+        return;
+    }
+    const bool joins = message.members.size() < gossip_entries / 2;
+    this->members.heard(from, message.incarnation, now());
+    this->members.merge(message.members, now());
+    if (message.wants_reply)
+    {
+        this->send(from, this->make_gossip(false, joins ? join_entries
+                                                        : gossip_entries));
+    }
+    if (message.revision > this->sources.revision())
+    {
+        this->sources.on_newer(asio::ip::address_v4(from).to_string(),
+                               message.revision);
+    }
+}
+
+core::quota_answer fleet::state::admit_here(const std::string& account,
+                                            double share)
+{
+    auto terms = this->sources.terms(account);
+    if (!terms)
+    {
+        return {true, {}};
+    }
+    terms->share = share;
+    return this->quotas.take(account, *terms, now());
+}
+
+void fleet::state::on(core::instance_address from,
+                      const core::admit_call& message)
+{
+    core::admit_reply reply;
+    reply.number = message.number;
+    reply.known = this->sources.terms(message.account).has_value();
+    if (reply.known)
+    {
+        reply.answer =
+            this->admit_here(message.account, this->members.live_share(now()));
+    }
+    this->send(from, reply);
+}
+
+void fleet::state::on(core::instance_address from,
+                      const core::admit_reply& message)
+{
+    const auto found = this->admits.find(message.number);
+    if (found == this->admits.end() || found->second.home != from)
+    {
+        return;
+    }
+    core::quota_answer answer = message.answer;
+    if (!message.known)
+    {
+        answer =
+            this->admit_here(found->second.account, this->members.own_share());
+    }
+    this->finish_admit(message.number, answer);
+}
+
+fleet::state::duty& fleet::state::duty_of(const std::string& service)
+{
+    const auto [found, fresh] = this->duties.try_emplace(
+        service, duty{core::placement(this->settings.repeats,
+                                      core::hash_text(service, this->instance)),
+                      0});
+    this->refresh(found->second, service);
+    return found->second;
+}
+
+void fleet::state::refresh(duty& home, const std::string& service)
+{
+    if (home.registry_version != this->servers.version())
+    {
+        home.registry_version = this->servers.version();
+        home.decisions.set_servers(this->servers.usable(service), now());
+    }
+}
+
+core::place_answer fleet::state::decide(const std::string& service,
+                                        const core::place_request& asked)
+{
+    duty& home = this->duty_of(service);
+    const core::place_answer answer = home.decisions.request(asked, now());
+    this->arm_home_timer();
+    return answer;
+}
+
+// Sends a late answer to the instance that waits for it.
+void fleet::state::answer(const core::grant_id& grant,
+                          const core::place_answer& answer)
+{
+    if (grant.instance == this->instance)
+    {
+        this->finish_place(grant.number, answer);
+        return;
+    }
+    const auto address =
+        static_cast<core::instance_address>(grant.instance >> 32U);
+    this->send(address, core::place_reply{grant.number, answer});
+}
+
+void fleet::state::run_duty(const std::string& service, duty& home)
+{
+    this->refresh(home, service);
+    for (const core::late_answer& late : home.decisions.tick(now()))
+    {
+        this->answer(late.grant, late.answer);
+    }
+    for (const core::placement_event& event : home.decisions.take_events())
+    {
+        log::write(log::level::info, "server_" + event.change,
+                   {log::kv("service", service),
+                    log::kv("server", event.server),
+                    log::kv("reason", event.reason),
+                    log::kv("doubt", fmt::format("{:.2f}", event.doubt))});
+    }
+}
+
+void fleet::state::arm_home_timer()
+{
+    if (this->home_timer_armed)
+    {
+        return;
+    }
+    this->home_timer_armed = true;
+    this->wait_for(this->home_timer, home_tick,
+                   [this]
+                   {
+                       this->home_timer_armed = false;
+                       bool busy = false;
+                       for (auto& [service, home] : this->duties)
+                       {
+                           this->run_duty(service, home);
+                           busy |= home.decisions.running() > 0 ||
+                                   home.decisions.waiting() > 0;
+                       }
+                       if (busy)
+                       {
+                           this->arm_home_timer();
+                       }
+                   });
+}
+
+void fleet::state::on(core::instance_address from,
+                      const core::place_call& message)
+{
+    const auto owner = static_cast<core::instance_address>(
+        message.asked.grant.instance >> 32U);
+    if (owner != from)
+    {
+        ++this->counts.datagrams_invalid;
+        return;
+    }
+    this->send(from,
+               core::place_reply{message.asked.grant.number,
+                                 this->decide(message.service, message.asked)});
+}
+
+void fleet::state::on(core::instance_address from,
+                      const core::place_reply& message)
+{
+    const auto found = this->places.find(message.number);
+    if (found == this->places.end())
+    {
+        // The request has ended or was placed by another home: the server's
+        // slot must not stay taken.
+        const auto held = this->grants.find(message.number);
+        const bool used =
+            held != this->grants.end() && held->second.home == from;
+        if (!used && std::holds_alternative<core::placed>(message.answer))
+        {
+            core::done_call unused;
+            unused.grant = {this->instance, message.number};
+            this->send(from, unused);
+        }
+        return;
+    }
+    place_call_state& call = found->second;
+    if (call.home >= call.homes.size() || call.homes[call.home] != from)
+    {
+        return;
+    }
+    call.calls = 0;
+    if (std::holds_alternative<core::queued>(message.answer))
+    {
+        this->wait_for(*call.timer, queued_repeat,
+                       [this, number = message.number]
+                       {
+                           this->call_home(number);
+                       });
+        return;
+    }
+    this->finish_place(message.number, message.answer);
+}
+
+void fleet::state::on(core::instance_address from,
+                      const core::done_call& message)
+{
+    const auto owner =
+        static_cast<core::instance_address>(message.grant.instance >> 32U);
+    if (owner != from)
+    {
+        ++this->counts.datagrams_invalid;
+        return;
+    }
+    this->send(from, core::done_reply{message.grant.number});
+    for (auto& [service, home] : this->duties)
+    {
+        if (!message.service.empty() && service != message.service)
+        {
+            continue;
+        }
+        if (message.outcome == core::send_outcome::cancelled)
+        {
+            home.decisions.withdraw(message.grant, now());
+        }
+        else
+        {
+            home.decisions.finished(message.grant, message.outcome,
+                                    message.took, now());
+        }
+        if (home.decisions.waiting() > 0)
+        {
+            this->run_duty(service, home);
+        }
+    }
+}
+
+void fleet::state::on(core::instance_address /*from*/,
+                      const core::done_reply& message)
+{
+    this->ends.erase(message.number);
+}
+
+void fleet::state::wait_for(asio::steady_timer& timer,
+                            milliseconds time,
+                            std::function<void()> then)
+{
+    timer.expires_after(time);
+    timer.async_wait(
+        [then = std::move(then)](error_code failure)
+        {
+            if (!failure)
+            {
+                then();
+            }
+        });
+}
+
+// Asks the current home of the call, or decides here when it is this instance
+// or none answers.
+void fleet::state::call_home(std::uint64_t number)
+{
+    const auto found = this->places.find(number);
+    if (found == this->places.end())
+    {
+        return;
+    }
+    place_call_state& call = found->second;
+    core::place_request asked = call.asked;
+    const core::duration waited = now() - call.asked_at;
+    asked.left -= std::min(asked.left, waited);
+    asked.objective -= std::min(asked.objective, waited);
+    if (asked.left <= core::duration(0))
+    {
+        this->finish_place(
+            number,
+            core::place_refused{core::result_code::deadline_unreachable, {}});
+        return;
+    }
+    const bool exhausted = call.home >= call.homes.size();
+    if (exhausted || call.homes[call.home] == this->own)
+    {
+        this->counts.local_decisions += exhausted ? 1 : 0;
+        const core::place_answer answer = this->decide(call.service, asked);
+        if (!std::holds_alternative<core::queued>(answer))
+        {
+            this->finish_place(number, answer);
+        }
+        return;
+    }
+    this->counts.calls_repeated += call.calls > 0 ? 1 : 0;
+    ++call.calls;
+    this->send(call.homes[call.home], core::place_call{call.service, asked});
+    this->wait_for(*call.timer, call_repeat,
+                   [this, number]
+                   {
+                       this->place_unanswered(number);
+                   });
+}
+
+void fleet::state::place_unanswered(std::uint64_t number)
+{
+    const auto found = this->places.find(number);
+    if (found == this->places.end())
+    {
+        return;
+    }
+    place_call_state& call = found->second;
+    if (call.calls >= calls_per_home)
+    {
+        const core::instance_address silent = call.homes[call.home];
+        this->members.suspect(silent, now());
+        ++this->counts.homes_passed_over;
+        log::write(log::level::info, "home_unanswered",
+                   {log::kv("service", call.service),
+                    log::kv("home", asio::ip::address_v4(silent).to_string())});
+        ++call.home;
+        call.calls = 0;
+    }
+    this->call_home(number);
+}
+
+void fleet::state::finish_place(std::uint64_t number,
+                                const core::place_answer& answer)
+{
+    const auto found = this->places.find(number);
+    if (found == this->places.end())
+    {
+        return;
+    }
+    place_call_state call = std::move(found->second);
+    this->places.erase(found);
+    call.timer->cancel();
+    if (std::holds_alternative<core::placed>(answer))
+    {
+        const bool here = call.home >= call.homes.size();
+        this->grants[number] = {call.service,
+                                here ? this->own : call.homes[call.home]};
+    }
+    call.done(answer);
+}
+
+void fleet::state::call_account_home(std::uint64_t number)
+{
+    const auto found = this->admits.find(number);
+    if (found == this->admits.end())
+    {
+        return;
+    }
+    admit_call_state& call = found->second;
+    if (call.calls >= calls_per_home)
+    {
+        this->members.suspect(call.home, now());
+        ++this->counts.homes_passed_over;
+        ++this->counts.local_decisions;
+        this->finish_admit(
+            number, this->admit_here(call.account, this->members.own_share()));
+        return;
+    }
+    ++call.calls;
+    this->send(call.home, core::admit_call{number, call.account});
+    this->wait_for(*call.timer, call_repeat,
+                   [this, number]
+                   {
+                       this->call_account_home(number);
+                   });
+}
+
+void fleet::state::finish_admit(std::uint64_t number,
+                                const core::quota_answer& answer)
+{
+    const auto found = this->admits.find(number);
+    if (found == this->admits.end())
+    {
+        return;
+    }
+    admit_call_state call = std::move(found->second);
+    this->admits.erase(found);
+    call.timer->cancel();
+    call.done(answer);
+}
+
+void fleet::state::send_done(std::uint64_t number)
+{
+    const auto found = this->ends.find(number);
+    if (found == this->ends.end())
+    {
+        return;
+    }
+    done_state& item = found->second;
+    if (item.calls > done_repeats)
+    {
+        this->ends.erase(found);
+        return;
+    }
+    ++item.calls;
+    this->send(item.home, item.message);
+    this->wait_for(*item.timer, done_repeat,
+                   [this, number]
+                   {
+                       this->send_done(number);
+                   });
+}
+
+core::result<std::unique_ptr<fleet>>
+fleet::create(asio::io_context& io,
+              const fleet_settings& settings,
+              const core::server_registry& servers,
+              fleet_sources sources)
+{
+    error_code failure;
+    const auto address =
+        asio::ip::make_address_v4(settings.self.address, failure);
+    if (failure)
+    {
+        return core::make_error_code(core::result_code::settings_invalid);
+    }
+    auto made = std::make_unique<state>(io, settings, servers,
+                                        std::move(sources), address.to_uint());
+    made->set_seeds(settings.seeds);
+    made->socket.open(udp::v4(), failure);
+    if (!failure)
+    {
+        made->socket.bind(udp::endpoint(address, settings.self.port), failure);
+    }
+    if (!failure)
+    {
+        made->socket.non_blocking(true, failure);
+    }
+    if (failure)
+    {
+        return std::error_code(failure);
+    }
+    return std::unique_ptr<fleet>(new fleet(std::move(made)));
+}
+
+fleet::fleet(std::unique_ptr<state> initial) : self(std::move(initial)) {}
+
+fleet::~fleet() = default;
+
+void fleet::set_seeds(const std::vector<std::string>& addresses)
+{
+    this->self->set_seeds(addresses);
+}
+
+void fleet::start()
+{
+    this->self->receive();
+    this->self->gossip_round();
+}
+
+void fleet::admit(const std::string& account, admit_handler done)
+{
+    state& own = *this->self;
+    const auto homes = own.members.homes("account " + account, 1, now());
+    if (homes.front() == own.own)
+    {
+        done(own.admit_here(account, own.members.live_share(now())));
+        return;
+    }
+    const std::uint64_t number = ++own.last_number;
+    state::admit_call_state call;
+    call.account = account;
+    call.done = std::move(done);
+    call.home = homes.front();
+    call.timer = std::make_unique<asio::steady_timer>(own.io);
+    own.admits.emplace(number, std::move(call));
+    own.call_account_home(number);
+}
+
+core::grant_id fleet::place(const std::string& service,
+                            core::place_request asked,
+                            place_handler done)
+{
+    state& own = *this->self;
+    const std::uint64_t number = ++own.last_number;
+    asked.grant = {own.instance, number};
+    state::place_call_state call;
+    call.service = service;
+    call.asked = std::move(asked);
+    call.done = std::move(done);
+    call.asked_at = now();
+    call.homes = own.members.homes("service " + service, homes_asked, now());
+    call.timer = std::make_unique<asio::steady_timer>(own.io);
+    own.places.emplace(number, std::move(call));
+    own.call_home(number);
+    return {own.instance, number};
+}
+
+void fleet::withdraw(const core::grant_id& grant)
+{
+    state& own = *this->self;
+    const auto found = own.places.find(grant.number);
+    if (found == own.places.end())
+    {
+        return;
+    }
+    const state::place_call_state call = std::move(found->second);
+    own.places.erase(found);
+    const bool here = call.home >= call.homes.size();
+    own.grants[grant.number] = {call.service,
+                                here ? own.own : call.homes[call.home]};
+    this->done(grant, core::send_outcome::cancelled, {});
+}
+
+void fleet::done(const core::grant_id& grant,
+                 core::send_outcome outcome,
+                 core::duration took)
+{
+    state& own = *this->self;
+    const auto found = own.grants.find(grant.number);
+    if (found == own.grants.end())
+    {
+        return;
+    }
+    const state::granted_state held = std::move(found->second);
+    own.grants.erase(found);
+    const core::done_call message{held.service, grant, outcome, took};
+    if (held.home == own.own)
+    {
+        state::duty& home = own.duty_of(held.service);
+        if (outcome == core::send_outcome::cancelled)
+        {
+            home.decisions.withdraw(grant, now());
+        }
+        else
+        {
+            home.decisions.finished(grant, outcome, took, now());
+        }
+        own.arm_home_timer();
+        return;
+    }
+    state::done_state item;
+    item.message = message;
+    item.home = held.home;
+    item.timer = std::make_unique<asio::steady_timer>(own.io);
+    own.ends.emplace(grant.number, std::move(item));
+    own.send_done(grant.number);
+}
+
+void fleet::announce()
+{
+    state& own = *this->self;
+    for (unsigned index = 0; index < announce_peers; ++index)
+    {
+        if (const auto peer = own.members.random_peer(now()))
+        {
+            own.send(*peer, own.make_gossip(false, 1));
+        }
+    }
+}
+
+void fleet::leave()
+{
+    state& own = *this->self;
+    own.leaving = true;
+    const core::gossip message = own.make_gossip(false, 1);
+    for (const auto& report : own.members.reports(join_entries, now()))
+    {
+        if (report.address != own.own)
+        {
+            own.send(report.address, message);
+        }
+    }
+}
+
+std::size_t fleet::live() const
+{
+    return this->self->members.live(now());
+}
+
+const fleet_counters& fleet::counters() const noexcept
+{
+    return this->self->counts;
+}
+
+} // namespace medlarbarrow::net
--- /dev/null
+++ b/medlarbarrow/net/fleet.hpp
@@ -0,0 +1,106 @@
+/// The instance's part in the fleet: membership by gossip, calls to the homes
+/// of services and accounts, and the home duties of this instance. All over
+/// one UDP socket, whose datagrams may be lost: calls are repeated, and a home
+/// that does not answer is passed over.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <medlarbarrow/config/settings.hpp>
+#include <medlarbarrow/core/fleet_messages.hpp>
+#include <medlarbarrow/core/registry.hpp>
+#include <memory>
+#include <optional>
+
+namespace medlarbarrow::net
+{
+
+struct fleet_settings
+{
+    config::endpoint self;          ///< address and UDP port
+    std::vector<std::string> seeds; ///< addresses of some instances
+    core::repeat_limits repeats;
+    std::uint64_t incarnation = 0; ///< Unix milliseconds of the start
+};
+
+/// What the fleet asks of the rest of the instance.
+struct fleet_sources
+{
+    /// Limit of an account by the document in force; nothing when unknown.
+    std::function<std::optional<core::quota_terms>(const std::string&)> terms;
+    /// Newest revision of what is published, as known here.
+    std::function<std::uint64_t()> revision;
+    /// Another instance knows a newer revision.
+    std::function<void(const std::string& address, std::uint64_t revision)>
+        on_newer;
+};
+
+struct fleet_counters
+{
+    std::uint64_t datagrams_sent = 0;
+    std::uint64_t datagrams_received = 0;
+    std::uint64_t datagrams_invalid = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t calls_repeated = 0;
+    std::uint64_t homes_passed_over = 0;
+    std::uint64_t local_decisions = 0; ///< no home answered
+};
+
+class fleet
+{
+public:
+    using place_handler = std::function<void(const core::place_answer&)>;
+    using admit_handler = std::function<void(const core::quota_answer&)>;
+
+    /// Errors: settings_invalid (an address is not IPv4), or the system's.
+    static core::result<std::unique_ptr<fleet>>
+    create(boost::asio::io_context& io,
+           const fleet_settings& settings,
+           const core::server_registry& servers,
+           fleet_sources sources);
+
+    ~fleet();
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+
+    /// Replaces the seeds; addresses that are not IPv4 are left out.
+    void set_seeds(const std::vector<std::string>& addresses);
+
+    /// Begins to exchange gossip.
+    void start();
+
+    /// Asks the account's home for one request. The handler is called once,
+    /// possibly before admit() returns.
+    void admit(const std::string& account, admit_handler done);
+
+    /// Asks the service's home for a server; `asked.grant` is set here and
+    /// returned. The handler gets `placed` or `place_refused`, once, unless
+    /// the grant is withdrawn before.
+    core::grant_id place(const std::string& service,
+                         core::place_request asked,
+                         place_handler done);
+
+    /// Gives up a place that has not been answered.
+    void withdraw(const core::grant_id& grant);
+
+    /// Tells the home how the send of a grant ended.
+    void done(const core::grant_id& grant,
+              core::send_outcome outcome,
+              core::duration took);
+
+    /// Something newer is published here: tells some others at once.
+    void announce();
+
+    /// Tells the others that this instance stops; calls still work.
+    void leave();
+
+    std::size_t live() const;
+    const fleet_counters& counters() const noexcept;
+
+private:
+    struct state;
+    explicit fleet(std::unique_ptr<state> initial);
+    std::unique_ptr<state> self;
+};
+
+} // namespace medlarbarrow::net
--- a/medlarbarrow/net/headers.cpp
+++ b/medlarbarrow/net/headers.cpp
@@ -334,10 +334,9 @@
     return stripped;
 }
 
-/// The key of an `Authorization: Bearer` value; empty for other schemes.
-std::string_view bearer_key(std::string_view value)
+/// The key of an Authorization value; empty for other schemes.
+std::string_view scheme_key(std::string_view value, std::string_view scheme)
 {
-    constexpr std::string_view scheme = "bearer";
     if (value.size() <= scheme.size() || !starts_with_name(value, scheme) ||
         (value[scheme.size()] != ' ' && value[scheme.size()] != '\t'))
     {
@@ -372,10 +371,12 @@
     return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
-/// `Medlar-Deadline-Ms` of the caller; false when malformed.
-bool read_deadline(const http::request_header<>& header, checked_request& into)
+/// The caller's deadline in milliseconds; false when malformed.
+bool read_deadline(const http::request_header<>& header,
+                   const interface_names& names,
+                   checked_request& into)
 {
-    const auto found = header.find("Medlar-Deadline-Ms");
+    const auto found = header.find(names.deadline);
     if (found == header.end())
     {
         return true;
@@ -407,6 +408,7 @@
 }
 
 bool read_target(const http::request_header<>& header,
+                 const interface_names& names,
                  checked_request& into,
                  key_collector& keys)
 {
@@ -418,6 +420,12 @@
     {
         return false;
     }
+    if (names.plain_target)
+    {
+        into.facts.path = path;
+        into.target = target;
+        return true;
+    }
     const auto routed = routing_path(path);
     if (!routed)
     {
@@ -471,11 +479,11 @@
 }
 
 /// Lines that the fleet replaces or consumes.
-bool is_replaced(std::string_view name)
+bool is_replaced(std::string_view name, const interface_names& names)
 {
     return equal_names(name, "content-length") || equal_names(name, "expect") ||
            equal_names(name, "traceparent") ||
-           starts_with_name(name, own_prefix);
+           starts_with_name(name, names.own_prefix);
 }
 
 void append_line(header_text& lines,
@@ -491,13 +499,18 @@
 /// The whole Authorization line is dropped, whatever its scheme: a key under
 /// a misspelt scheme would otherwise reach a server.
 void collect_line_keys(const http::request_header<>& header,
+                       const interface_names& names,
                        key_collector& keys)
 {
     for (const auto& line : header)
     {
         if (line.name() == http::field::authorization)
         {
-            keys.add(bearer_key(line.value()));
+            keys.add(scheme_key(line.value(), names.key_scheme));
+        }
+        else if (names.plain_target)
+        {
+            continue;
         }
         else if (equal_names(line.name_string(), "x-api-key"))
         {
@@ -511,6 +524,7 @@
 }
 
 void build_lines(const http::request_header<>& header,
+                 const interface_names& names,
                  const std::vector<std::string>& dropped,
                  const key_collector& keys,
                  header_text& lines)
@@ -519,13 +533,14 @@
     {
         const std::string_view name = line.name_string();
         if (is_hop_by_hop(name) || contains_name(dropped, name) ||
-            is_replaced(name) || line.name() == http::field::authorization ||
-            equal_names(name, "x-api-key"))
+            is_replaced(name, names) ||
+            line.name() == http::field::authorization ||
+            (!names.plain_target && equal_names(name, "x-api-key")))
         {
             continue;
         }
         std::string value(line.value());
-        if (line.name() == http::field::cookie)
+        if (!names.plain_target && line.name() == http::field::cookie)
         {
             key_collector ignored;
             value = strip_cookies(value, ignored);
@@ -580,7 +595,8 @@
 }
 
 core::result<checked_request>
-check_request(const http::request_header<>& header)
+check_request(const http::request_header<>& header,
+              const interface_names& names)
 {
     const std::error_code bad =
         core::make_error_code(core::result_code::bad_request);
@@ -592,8 +608,9 @@
                                 header.method() == http::verb::connect;
     if (header.version() != 11 || method_refused ||
         !read_framing(header, request) || !read_host(header, request) ||
-        !read_target(header, request, keys) ||
-        !read_deadline(header, request) || !read_expectation(header, request) ||
+        !read_target(header, names, request, keys) ||
+        !read_deadline(header, names, request) ||
+        !read_expectation(header, request) ||
         header.count(http::field::authorization) > 1 ||
         header.count("Idempotency-Key") > 1)
     {
@@ -604,13 +621,17 @@
     {
         return bad;
     }
-    collect_line_keys(header, keys);
+    collect_line_keys(header, names, keys);
     if (keys.has_conflict() || keys.is_in(request.target) ||
         keys.is_in(request.facts.path))
     {
         return bad;
     }
-    build_lines(header, dropped, keys, request.lines);
+    build_lines(header, names, dropped, keys, request.lines);
+    if (names.caller_names_requests)
+    {
+        request.id = std::string_view(header[names.request_id]);
+    }
     request.close = contains_name(dropped, "close");
     request.facts.method = request.method;
     const auto order_key = header.find("Idempotency-Key");
--- a/medlarbarrow/net/log.cpp
+++ b/medlarbarrow/net/log.cpp
@@ -99,7 +99,8 @@
 
 void put(const std::string& line)
 {
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), stdout);
+    std::fflush(stdout);
 }
 
 void run(writer& target)
--- a/medlarbarrow/net/log.hpp
+++ b/medlarbarrow/net/log.hpp
@@ -1,5 +1,5 @@
 /// Structured log: one line of key=value pairs for each event, written to
-/// standard error by a thread of its own.
+/// standard output by a thread of its own.
 #pragma once
 
 #include <cstdint>
--- /dev/null
+++ b/medlarbarrow/net/send.cpp
@@ -0,0 +1,143 @@
+#include <medlarbarrow/net/send.hpp>
+
+namespace medlarbarrow::net
+{
+
+namespace
+{
+
+/// A larger answer passes to the caller while it arrives.
+constexpr std::size_t held_answer_bytes = 256U << 10U;
+
+constexpr unsigned least_error_status = 500;
+
+} // namespace
+
+send_verdict judge_send(const core::attempt_result& result)
+{
+    using core::attempt_end;
+    using core::send_end;
+    using core::send_outcome;
+    switch (result.end)
+    {
+    case attempt_end::answered:
+        if (result.status >= least_error_status)
+        {
+            return {send_end::failed, send_outcome::failed};
+        }
+        return {send_end::answered, send_outcome::succeeded};
+    case attempt_end::not_sent:
+        return {send_end::not_sent, send_outcome::unreachable};
+    case attempt_end::refused_not_run:
+        return {send_end::not_run, send_outcome::shed};
+    case attempt_end::timed_out:
+        return {send_end::lost, send_outcome::timed_out};
+    case attempt_end::closed_early:
+    case attempt_end::answered_partly:
+        return {send_end::lost, send_outcome::broke_off};
+    case attempt_end::caller_gone:
+        break;
+    }
+    return {send_end::lost, send_outcome::cancelled};
+}
+
+send::send(std::shared_ptr<caller_connection> target,
+           std::function<bool()> may_pass)
+    : caller(std::move(target)), claim(std::move(may_pass))
+{
+}
+
+asio::awaitable<core::attempt_result> send::run(upstream& servers,
+                                                core::step_send step,
+                                                checked_request request,
+                                                trace::context span)
+{
+    const auto keep_alive = this->shared_from_this();
+    core::attempt_result result =
+        co_await servers.attempt(step, request, span, *this);
+    this->claim = nullptr;
+    co_return result;
+}
+
+void send::cancel()
+{
+    this->cancelled = true;
+    if (const auto callback = this->on_gone)
+    {
+        callback();
+    }
+}
+
+asio::awaitable<body_part> send::read_body(std::uint64_t position,
+                                           const bool& stopped)
+{
+    const body_part part = co_await this->caller->read_body(position, stopped);
+    co_return part;
+}
+
+void send::wake()
+{
+    this->caller->wake();
+}
+
+bool send::is_gone() const
+{
+    return this->cancelled || this->caller->is_gone();
+}
+
+asio::awaitable<bool>
+send::write_head(const answer_head& answered, std::string_view part, bool last)
+{
+    this->head = answered;
+    const bool taken = co_await this->keep(part, last);
+    co_return taken;
+}
+
+asio::awaitable<bool> send::write_part(std::string_view part, bool last)
+{
+    if (!this->passing)
+    {
+        const bool taken = co_await this->keep(part, last);
+        co_return taken;
+    }
+    const bool written = co_await this->caller->write_part(part, last);
+    co_return written;
+}
+
+// Holds the part, or begins to pass the answer on when it grows too large.
+asio::awaitable<bool> send::keep(std::string_view part, bool last)
+{
+    this->body += part;
+    if (last || this->body.size() <= held_answer_bytes)
+    {
+        co_return !this->cancelled;
+    }
+    if (this->cancelled || !this->claim || !this->claim())
+    {
+        co_return false;
+    }
+    this->passing = true;
+    const bool written =
+        co_await this->caller->write_head(this->head, this->body, false);
+    this->body = std::string();
+    co_return written;
+}
+
+asio::awaitable<bool> send::deliver()
+{
+    if (this->passing)
+    {
+        co_return this->caller->is_answer_whole();
+    }
+    // The length is known now, also of an answer that came without one.
+    if (this->head.has_body)
+    {
+        this->head.length = this->body.size();
+    }
+    const std::string_view part = this->body;
+    const bool written =
+        co_await this->caller->write_head(this->head, part, true);
+    co_return written;
+}
+
+} // namespace medlarbarrow::net
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -24,19 +24,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Below the keep-alive time of common servers (5 s), so that a reused
-/// connection is seldom one that its server is about to close.
-constexpr seconds idle_age_limit{4};
-
 /// A connection rests this long before reuse, unless the share of the server
 /// is used up: bytes that follow an answer unasked for arrive in this time and
 /// are noticed.
 constexpr milliseconds settle_time{2};
 
-/// Servers are a few milliseconds away; a connection that takes longer is
-/// lost packets or a full backlog.
-constexpr seconds connect_limit{1};
-
 /// Silence of a server inside an answer that has begun. The deadline alone
 /// would cut off long answers to slow callers.
 constexpr seconds silence_limit{10};
@@ -48,9 +40,13 @@
 constexpr std::size_t answer_header_limit = 65536;
 constexpr std::size_t least_share = 2;
 
-/// Differs for each attempt; a server may repeat it in its answer.
-constexpr std::string_view request_id_name = "Medlar-Request-Id";
-constexpr unsigned informational_limit = 8;
+/// Interim answers and answers to earlier requests that may come before the
+/// one that is waited for.
+constexpr unsigned foreign_answer_limit = 8;
+
+/// Share of the idle time that a server states for which its connection is
+/// kept.
+constexpr double stated_idle_share = 0.7;
 
 /// Keep-alive probes find a dead peer of an idle connection within 3 s.
 void set_socket_options(tcp::socket& socket)
@@ -84,40 +80,25 @@
     return std::max(left, milliseconds(1));
 }
 
-/// False for an answer that names another request than the one it follows. A
-/// server need not name any; one that does is guarded against crossed answers.
-bool is_own_answer(const http::response_header<>& header,
-                   std::string_view request_id)
-{
-    const auto named = header.find(request_id_name);
-    return named == header.end() || named->value() == request_id;
-}
-
-std::string request_head(const core::step_send& step,
-                         const checked_request& request,
-                         const trace::context& span,
-                         std::string_view request_id)
+/// Idle time that the server states for the connection, if any.
+std::optional<milliseconds> stated_idle_time(const http::response_header<>& in)
 {
-    std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
-    head += request.lines;
-    head += "traceparent: " + trace::format(span) + "\r\n";
-    head += fmt::format("{}: {}\r\n", request_id_name, request_id);
-    head += fmt::format("Medlar-Deadline-Ms: {}\r\n",
-                        remaining(step.deadline).count());
-    if (request.chunked)
+    constexpr std::string_view member = "timeout=";
+    const std::string_view text = in[http::field::keep_alive];
+    const auto at = text.find(member);
+    unsigned value = 0;
+    if (at == std::string_view::npos)
     {
-        head += "Transfer-Encoding: chunked\r\n";
+        return std::nullopt;
     }
-    else if (request.content_length)
+    const char* first = text.data() + at + member.size();
+    const auto parsed =
+        std::from_chars(first, text.data() + text.size(), value);
+    if (parsed.ec != std::errc())
     {
-        head += fmt::format("Content-Length: {}\r\n", *request.content_length);
+        return std::nullopt;
     }
-    return head + "\r\n";
-}
-
-bool says_not_run(const http::response_header<>& header)
-{
-    return header.result_int() == 503 && header["Medlar-Not-Run"] == "1";
+    return seconds(std::min(value, 3600U));
 }
 
 answer_head make_head(const answer_parser& parser, bool has_body)
@@ -148,6 +129,7 @@
     {
         tcp::socket socket;
         core::time_point since{};
+        core::duration age_limit{};
     };
 
     explicit server_pool(const asio::any_io_executor& executor)
@@ -315,7 +297,8 @@
     core::time_point send_began{};
     bool answer_whole = false;
     bool reusable = false;
-    bool passed_on = false; ///< answer bytes went to the caller
+    core::duration age_limit{}; ///< of the connection, once idle
+    bool passed_on = false;     ///< answer bytes went to the caller
     bool caller_left = false;
     bool not_run = false;
     core::attempt_result result;
@@ -347,14 +330,76 @@
 };
 
 upstream::upstream(asio::any_io_executor chosen,
-                   const config::entry_bounds& bounds)
+                   const config::entry_bounds& bounds,
+                   interface_names interface,
+                   upstream_times limits)
     : counts(std::make_shared<upstream_counters>()),
-      executor(std::move(chosen)),
+      executor(std::move(chosen)), names(std::move(interface)), times(limits),
       // Half for the parser's input, half for the decoded part.
       piece_bytes(std::max<std::size_t>(bounds.buffer_bytes / 2, 4096))
 {
 }
 
+// False for an answer that names another request than the one it follows. A
+// server need not name any; one that does is guarded against crossed answers.
+bool upstream::is_own_answer(const exchange& run) const
+{
+    const http::response_header<>& header = run.parser->get().base();
+    const auto named = header.find(this->names.request_id);
+    return named == header.end() || named->value() == run.request_id;
+}
+
+// True for an answer whose end is the end of its connection. Where these are
+// not expected, one that ends early would look whole.
+bool upstream::ends_with_connection(const exchange& run) const
+{
+    const http::response_header<>& header = run.parser->get().base();
+    return this->names.answers_until_close &&
+           header.count(http::field::content_length) == 0 &&
+           header.count(http::field::transfer_encoding) == 0;
+}
+
+bool upstream::says_not_run(const http::response_header<>& header) const
+{
+    const bool stated = header[this->names.not_run] == "1";
+    const unsigned status = header.result_int();
+    if (this->names.expected_server.empty())
+    {
+        return stated && status == 503;
+    }
+    return stated || status == 421;
+}
+
+std::string upstream::request_head(const core::step_send& step,
+                                   const checked_request& request,
+                                   const trace::context& span,
+                                   std::string_view request_id) const
+{
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    head += request.lines;
+    head += "traceparent: " + trace::format(span) + "\r\n";
+    if (!request_id.empty())
+    {
+        head += fmt::format("{}: {}\r\n", this->names.request_id, request_id);
+    }
+    head += fmt::format("{}: {}\r\n", this->names.deadline,
+                        remaining(step.deadline).count());
+    if (!this->names.expected_server.empty() && !step.expected_server.empty())
+    {
+        head += fmt::format("{}: {}\r\n", this->names.expected_server,
+                            step.expected_server);
+    }
+    if (request.chunked)
+    {
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    else if (request.content_length)
+    {
+        head += fmt::format("Content-Length: {}\r\n", *request.content_length);
+    }
+    return head + "\r\n";
+}
+
 void upstream::set_max_instances(std::uint32_t count) noexcept
 {
     this->max_instances = std::max<std::uint32_t>(count, 1);
@@ -403,7 +448,7 @@
         }
         server_pool::idle_connection candidate = std::move(*chosen);
         pool.idle.erase(std::next(chosen).base());
-        if (now - candidate.since < idle_age_limit &&
+        if (now - candidate.since < candidate.age_limit &&
             is_quiet(candidate.socket))
         {
             run.socket = std::move(candidate.socket);
@@ -459,8 +504,21 @@
     if (!failure)
     {
         set_socket_options(run.socket);
+        // A timer that fires as the connection is made must not close it later.
+        const auto connecting = std::make_shared<bool>(true);
+        asio::steady_timer limit(this->executor, this->times.connect);
+        limit.async_wait(
+            [&run, connecting](error_code cancelled)
+            {
+                error_code ignored;
+                if (!cancelled && *connecting)
+                {
+                    run.socket.close(ignored);
+                }
+            });
         co_await run.socket.async_connect(
             endpoint, asio::redirect_error(asio::use_awaitable, failure));
+        *connecting = false;
     }
     if (failure)
     {
@@ -479,7 +537,8 @@
 {
     server_pool& pool = *run.pool;
     run.holds_slot = false;
-    pool.idle.push_back({std::move(run.socket), core::boot_clock::now()});
+    pool.idle.push_back(
+        {std::move(run.socket), core::boot_clock::now(), run.age_limit});
     pool.freed.notify();
 }
 
@@ -536,12 +595,32 @@
     run->changed.notify();
 }
 
+// Reads the body of an answer that belongs to another request; false when it
+// does not end.
+asio::awaitable<bool> upstream::discard_answer(exchange& run)
+{
+    const http::response_header<>& header = run.parser->get().base();
+    if (!has_clear_framing(header))
+    {
+        co_return false;
+    }
+    run.parser->eager(true);
+    run.piece.resize(this->piece_bytes);
+    bool going_on = true;
+    while (going_on && !run.parser->is_done())
+    {
+        going_on = co_await this->read_piece(run);
+    }
+    run.filled = 0;
+    co_return going_on;
+}
+
 // Reads the final header of the answer; false when there is none.
 asio::awaitable<bool> upstream::read_head(exchange& run,
                                           const checked_request& request)
 {
     error_code failure;
-    for (unsigned count = 0; count < informational_limit; ++count)
+    for (unsigned count = 0; count < foreign_answer_limit; ++count)
     {
         run.parser.emplace();
         run.parser->header_limit(answer_header_limit);
@@ -550,10 +629,25 @@
         co_await http::async_read_header(
             run.socket, run.input, *run.parser,
             asio::redirect_error(asio::use_awaitable, failure));
-        if (failure || run.parser->get().result_int() / 100 != 1)
+        if (failure)
         {
             break;
         }
+        if (run.parser->get().result_int() / 100 == 1)
+        {
+            continue;
+        }
+        // A late answer to an earlier request on this connection.
+        if (this->is_own_answer(run))
+        {
+            break;
+        }
+        const bool discarded = co_await this->discard_answer(run);
+        if (!discarded)
+        {
+            run.stop(exchange::stop_cause::bad_answer);
+            co_return false;
+        }
     }
     if (failure)
     {
@@ -566,13 +660,22 @@
     const bool has_body =
         request.method != "HEAD" && status != 204 && status != 304;
     // Without a stated end, an answer that ends early would look whole.
-    if (status < 200 || (has_body && !has_clear_framing(header)) ||
-        !is_own_answer(header, run.request_id))
+    if (status < 200 || !this->is_own_answer(run) ||
+        (has_body && !has_clear_framing(header) &&
+         !this->ends_with_connection(run)))
     {
         run.stop(exchange::stop_cause::bad_answer);
         co_return false;
     }
-    run.not_run = says_not_run(header);
+    run.not_run = this->says_not_run(header);
+    run.age_limit = this->times.idle_age;
+    if (const auto stated = stated_idle_time(header))
+    {
+        const std::chrono::duration<double, std::milli> kept =
+            stated_idle_share * *stated;
+        run.age_limit = std::min<core::duration>(
+            run.age_limit, std::chrono::duration_cast<milliseconds>(kept));
+    }
     run.head = make_head(*run.parser, has_body);
     run.kept.status = status;
     run.kept.content_type = header[http::field::content_type];
@@ -608,6 +711,12 @@
         const std::size_t count = co_await run.socket.async_read_some(
             space, asio::redirect_error(asio::use_awaitable, failure));
         run.input.commit(count);
+        if (failure == asio::error::eof && this->ends_with_connection(run))
+        {
+            failure = {};
+            run.parser->put_eof(failure);
+            continue;
+        }
         if (failure)
         {
             co_return false;
@@ -775,14 +884,18 @@
     if (acquired)
     {
         run->send_began = core::boot_clock::now();
-        run->request_id = trace::span_id_text(trace::make_span(span));
+        run->request_id = request.id;
+        if (request.id.empty() && !this->names.caller_names_requests)
+        {
+            run->request_id = trace::span_id_text(trace::make_span(span));
+        }
         run->sender_ended = false;
-        asio::co_spawn(this->executor,
-                       this->send_request(
-                           run,
-                           request_head(step, request, span, run->request_id),
-                           request, caller.shared_from_this()),
-                       asio::detached);
+        asio::co_spawn(
+            this->executor,
+            this->send_request(
+                run, this->request_head(step, request, span, run->request_id),
+                request, caller.shared_from_this()),
+            asio::detached);
         co_await this->read_answer(run, step, request, caller);
         co_await this->end_sender(*run, caller);
     }
@@ -798,15 +911,17 @@
 
 void upstream::close_aged()
 {
-    const core::time_point oldest = core::boot_clock::now() - idle_age_limit;
+    const core::time_point now = core::boot_clock::now();
     for (auto& [name, pool] : this->pools)
     {
-        while (!pool->idle.empty() && pool->idle.front().since < oldest)
-        {
-            pool->idle.pop_front();
-            --pool->open;
-            --this->counts->connections_open;
-        }
+        const std::size_t closed =
+            std::erase_if(pool->idle,
+                          [now](const server_pool::idle_connection& item)
+                          {
+                              return now - item.since >= item.age_limit;
+                          });
+        pool->open -= closed;
+        this->counts->connections_open -= closed;
     }
     std::erase_if(this->pools,
                   [](const auto& item)
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -75,12 +75,25 @@
     std::uint64_t bytes_from_servers = 0; ///< bodies only
 };
 
+/// Times that depend on the servers.
+struct upstream_times
+{
+    /// Below the keep-alive time of common servers (5 s), so that a reused
+    /// connection is seldom one that its server is about to close.
+    std::chrono::milliseconds idle_age{4000};
+    /// Servers are a few milliseconds away; a connection that takes longer is
+    /// lost packets or a full backlog.
+    std::chrono::milliseconds connect{1000};
+};
+
 /// Connections to all backend servers of one instance. Used on one thread.
 class upstream
 {
 public:
     upstream(asio::any_io_executor executor,
-             const config::entry_bounds& bounds);
+             const config::entry_bounds& bounds,
+             interface_names names = {},
+             upstream_times times = {});
 
     /// The connections of a server are shared by this many instances.
     void set_max_instances(std::uint32_t count) noexcept;
@@ -130,8 +143,19 @@
     asio::awaitable<void> end_sender(exchange& run, caller_port& caller);
     static core::attempt_result judge(exchange& run, bool keep_answer);
 
+    asio::awaitable<bool> discard_answer(exchange& run);
+    bool is_own_answer(const exchange& run) const;
+    bool ends_with_connection(const exchange& run) const;
+    bool says_not_run(const http::response_header<>& header) const;
+    std::string request_head(const core::step_send& step,
+                             const checked_request& request,
+                             const trace::context& span,
+                             std::string_view request_id) const;
+
     std::shared_ptr<upstream_counters> counts;
     asio::any_io_executor executor;
+    interface_names names;
+    upstream_times times;
     std::size_t piece_bytes;
     std::uint32_t max_instances = 1;
     std::map<std::string, std::shared_ptr<server_pool>> pools;
