--- a/medlarbarrow/core/membership.cpp
+++ b/medlarbarrow/core/membership.cpp
@@ -11,11 +11,15 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// News cross a fleet of hundreds in fewer than ten rounds of gossip.
-constexpr seconds live_age{5};
+/// News of a live instance are younger than this in a fleet of the size below;
+/// in a larger one they take longer in proportion. Calls that are not answered
+/// find a dead one sooner.
+constexpr seconds live_age{8};
+constexpr std::size_t usual_size = 64;
 
-/// An instance that stays away for longer counts no more for shares.
-constexpr seconds known_age{60};
+/// An instance that stays away for longer counts no more for shares; several
+/// times the live age.
+constexpr int known_factor = 8;
 
 } // namespace
 
@@ -26,9 +30,16 @@
 {
 }
 
+duration membership::fresh_age() const
+{
+    const std::size_t size = this->members.size() + 1;
+    return live_age * std::max<std::size_t>(1, size / usual_size);
+}
+
 bool membership::fresh(const member& item, time_point now) const
 {
-    return !item.left && !item.suspected && now - item.heard < live_age;
+    return !item.left && !item.suspected &&
+           now - item.heard < this->fresh_age();
 }
 
 void membership::heard(instance_address from,
@@ -54,7 +65,7 @@
     for (const member_report& report : reports)
     {
         if (report.address == this->self || report.address == 0 ||
-            report.age > known_age)
+            report.age > this->fresh_age() * known_factor)
         {
             continue;
         }
@@ -110,7 +121,7 @@
     std::vector<member_report> all;
     for (const auto& [address, item] : this->members)
     {
-        const bool lately = now - item.heard < live_age;
+        const bool lately = now - item.heard < this->fresh_age();
         if (lately)
         {
             all.push_back(
@@ -210,10 +221,11 @@
 
 void membership::tick(time_point now)
 {
+    const duration longest = this->fresh_age() * known_factor;
     std::erase_if(this->members,
-                  [now](const auto& item)
+                  [now, longest](const auto& item)
                   {
-                      return now - item.second.heard > known_age;
+                      return now - item.second.heard > longest;
                   });
 }
 
--- a/medlarbarrow/core/membership.hpp
+++ b/medlarbarrow/core/membership.hpp
@@ -81,6 +81,7 @@
         bool left = false;
     };
 
+    duration fresh_age() const;
     std::size_t known() const;
     bool fresh(const member& item, time_point now) const;
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds gossip_period{500};
 /// Until an instance knows another one.
 constexpr milliseconds join_period{100};
-constexpr std::size_t gossip_entries = 12;
+constexpr std::size_t gossip_entries = 16;
 /// Entries for an instance that asks for the first time.
 constexpr std::size_t join_entries = 64;
 /// Rounds of gossip between messages to a seed; they join fleets that a
