Let a few instances read the store for all

Ruled out: longer watches (noticed later still), reading by gossip age alone (3 s and more in a cut). Change: three or more readers, chosen by rank, tell subscribers every 400 ms what the store confirmed; who hears nothing fresh for 1.5 s reads for itself.

--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -62,7 +62,25 @@
     std::uint64_t number = 0;
 };
 
+/// Asks a reader of the source for beacons.
+struct subscribe
+{
+    std::uint64_t incarnation = 0;
+};
+
+/// A reader's word of the source, sent at intervals and after each change.
+struct beacon
+{
+    std::uint64_t revision = 0;
+    std::chrono::milliseconds age{}; ///< since the source confirmed it
+    /// Changes after this revision, as text; empty when they are too large.
+    std::uint64_t since = 0;
+    std::string changes;
+};
+
 using fleet_message = std::variant<gossip,
+                                   subscribe,
+                                   beacon,
                                    admit_call,
                                    admit_reply,
                                    place_call,
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/core/readers.hpp>
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -42,6 +43,11 @@
 
 constexpr milliseconds home_tick{25};
 
+/// Changes larger than this are fetched over TCP.
+constexpr std::size_t beacon_changes = 1200;
+/// Beacons between two subscriptions.
+constexpr unsigned subscribe_rounds = 3;
+
 core::time_point now()
 {
     return core::boot_clock::now();
@@ -103,7 +109,8 @@
           instance(std::uint64_t{address} << 32U |
                    (chosen.incarnation & 0xffffffffU)),
           members(address, chosen.incarnation, chosen.incarnation ^ address),
-          socket(context), gossip_timer(context), home_timer(context)
+          duty_of_reading(address), socket(context), gossip_timer(context),
+          beacon_timer(context), home_timer(context)
     {
     }
 
@@ -119,6 +126,11 @@
     void on(core::instance_address from, const core::place_reply& message);
     void on(core::instance_address from, const core::done_call& message);
     void on(core::instance_address from, const core::done_reply& message);
+    void on(core::instance_address from, const core::subscribe& message);
+    void on(core::instance_address from, const core::beacon& message);
+
+    void beacon_round();
+    void send_beacons(std::uint64_t since);
 
     core::gossip make_gossip(bool wants_reply, std::size_t entries);
     void gossip_round();
@@ -154,10 +166,14 @@
     std::uint64_t instance; ///< this start, in grants
     core::membership members;
     core::quota_home quotas;
+    core::reader_duty duty_of_reading;
+    std::uint64_t announced = 0; ///< revision of the newest beacon
+    unsigned beacon_rounds = 0;
     udp::socket socket;
     udp::endpoint sender;
     std::array<std::uint8_t, greatest_datagram> input{};
     asio::steady_timer gossip_timer;
+    asio::steady_timer beacon_timer;
     asio::steady_timer home_timer;
     bool home_timer_armed = false;
     std::vector<core::instance_address> seeds;
@@ -318,6 +334,80 @@
     }
 }
 
+void fleet::state::on(core::instance_address from,
+                      const core::subscribe& message)
+{
+    this->members.heard(from, message.incarnation, now());
+    this->duty_of_reading.subscribed(from, now());
+}
+
+void fleet::state::on(core::instance_address from, const core::beacon& message)
+{
+    if (message.revision > this->sources.revision() &&
+        !message.changes.empty() && message.since <= this->sources.revision())
+    {
+        this->sources.on_changes(message.changes);
+    }
+    if (message.revision > this->sources.revision())
+    {
+        this->sources.on_newer(asio::ip::address_v4(from).to_string(),
+                               message.revision);
+        return;
+    }
+    // What is known here is at least as new as what the source confirmed.
+    this->duty_of_reading.confirmed(message.age, now());
+}
+
+void fleet::state::send_beacons(std::uint64_t since)
+{
+    const auto age = this->duty_of_reading.age(now());
+    if (!age)
+    {
+        return;
+    }
+    core::beacon message;
+    message.revision = this->sources.revision();
+    message.age = std::chrono::ceil<milliseconds>(*age);
+    message.since = since;
+    if (since < message.revision)
+    {
+        message.changes = this->sources.changes(since);
+        if (message.changes.size() > beacon_changes)
+        {
+            message.changes.clear();
+        }
+    }
+    for (const core::instance_address to :
+         this->duty_of_reading.subscribers(now()))
+    {
+        this->send(to, message);
+    }
+    this->announced = message.revision;
+}
+
+// Chooses the readers, keeps subscriptions alive and sends beacons.
+void fleet::state::beacon_round()
+{
+    this->duty_of_reading.update(this->members, now());
+    if (this->beacon_rounds++ % subscribe_rounds == 0)
+    {
+        for (const core::instance_address reader :
+             this->duty_of_reading.chosen())
+        {
+            this->send(reader, core::subscribe{this->settings.incarnation});
+        }
+    }
+    this->send_beacons(this->sources.revision());
+    this->sources.read(this->duty_of_reading.must_read(now()));
+    this->wait_for(
+        this->beacon_timer,
+        std::chrono::duration_cast<milliseconds>(core::beacon_period),
+        [this]
+        {
+            this->beacon_round();
+        });
+}
+
 core::quota_answer fleet::state::admit_here(const std::string& account,
                                             double share)
 {
@@ -742,6 +832,7 @@
 {
     this->self->receive();
     this->self->gossip_round();
+    this->self->beacon_round();
 }
 
 void fleet::admit(const std::string& account, admit_handler done)
@@ -833,9 +924,15 @@
     own.send_done(grant.number);
 }
 
+void fleet::confirmed()
+{
+    this->self->duty_of_reading.confirmed({}, now());
+}
+
 void fleet::announce()
 {
     state& own = *this->self;
+    own.send_beacons(own.announced);
     for (unsigned index = 0; index < announce_peers; ++index)
     {
         if (const auto peer = own.members.random_peer(now()))
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -33,6 +33,11 @@
     /// Another instance knows a newer revision.
     std::function<void(const std::string& address, std::uint64_t revision)>
         on_newer;
+    /// Changes after a revision as text, and their taking.
+    std::function<std::string(std::uint64_t since)> changes;
+    std::function<void(const std::string& changes)> on_changes;
+    /// This instance must read the source, or need not any more.
+    std::function<void(bool wanted)> read;
 };
 
 struct fleet_counters
@@ -88,7 +93,11 @@
               core::send_outcome outcome,
               core::duration took);
 
-    /// Something newer is published here: tells some others at once.
+    /// The source has confirmed what is known here.
+    void confirmed();
+
+    /// Something newer is published here: tells those at once that hear of the
+    /// source from this instance, and some others.
     void announce();
 
     /// Tells the others that this instance stops; calls still work.
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -20,7 +20,9 @@
     place_call = 4,
     place_reply = 5,
     done_call = 6,
-    done_reply = 7
+    done_reply = 7,
+    subscribe = 8,
+    beacon = 9
 };
 
 enum class answer_kind : std::uint8_t
@@ -145,6 +147,23 @@
     return out;
 }
 
+json encode(const core::subscribe& message)
+{
+    json out = header(kind::subscribe);
+    out.push_back(message.incarnation);
+    return out;
+}
+
+json encode(const core::beacon& message)
+{
+    json out = header(kind::beacon);
+    out.push_back(message.revision);
+    out.push_back(message.age.count());
+    out.push_back(message.since);
+    out.push_back(message.changes);
+    return out;
+}
+
 core::gossip decode_gossip(const json& in)
 {
     core::gossip message;
@@ -243,6 +262,13 @@
         return decode_done_call(in);
     case kind::done_reply:
         return core::done_reply{in.at(1).get<std::uint64_t>()};
+    case kind::subscribe:
+        return core::subscribe{in.at(1).get<std::uint64_t>()};
+    case kind::beacon:
+        return core::beacon{in.at(1).get<std::uint64_t>(),
+                            milliseconds(in.at(2).get<std::uint32_t>()),
+                            in.at(3).get<std::uint64_t>(),
+                            in.at(4).get<std::string>()};
     }
     throw std::out_of_range("kind");
 }
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds shutdown_margin{300};
 
 /// Time for the instance's own read of the source before it asks a peer.
-constexpr milliseconds catch_up_pause{100};
+constexpr milliseconds catch_up_pause{20};
 constexpr milliseconds catch_up_limit{500};
 constexpr std::size_t greatest_published = 16U << 20U;
 constexpr std::string_view published_path = "/published?since=";
@@ -69,6 +69,7 @@
     void on_published();
     void on_newer(const std::string& address, std::uint64_t revision);
     void catch_up(const std::string& address, std::uint64_t revision);
+    void take_changes(std::string_view text);
     std::optional<std::string> answer_peer(std::string_view target) const;
     void watch_signals();
     void reload();
@@ -133,8 +134,19 @@
     }
 }
 
-// A peer knows more. The own read of the source mostly brings it in a moment;
-// where it does not, the peer passes it on.
+void fleet_instance::state::take_changes(std::string_view text)
+{
+    const std::error_code refused =
+        this->known.take_text(text, core::boot_clock::now());
+    if (refused)
+    {
+        log::write(log::level::warning, "peer_changes_refused",
+                   {log::kv("reason", refused)});
+    }
+}
+
+// A peer knows more. A beacon or the own read of the source mostly brings it in
+// a moment; where it does not, the peer passes it on.
 void fleet_instance::state::on_newer(const std::string& address,
                                      std::uint64_t revision)
 {
@@ -174,16 +186,13 @@
         [this, address](const core::result<http_answer>& answer)
         {
             this->catching_up = false;
-            std::error_code refused;
             if (answer)
             {
-                refused = this->known.take_text(answer->body,
-                                                core::boot_clock::now());
+                this->take_changes(answer->body);
             }
             log::write(log::level::info, "caught_up",
                        {log::kv("peer", address),
                         log::kv("reached", answer.has_value()),
-                        log::kv("valid", !refused),
                         log::kv("revision", this->known.revision())});
         });
 }
@@ -230,6 +239,18 @@
     {
         this->on_newer(address, revision);
     };
+    sources.changes = [this](std::uint64_t since)
+    {
+        return this->known.text_since(since);
+    };
+    sources.on_changes = [this](const std::string& changes)
+    {
+        this->take_changes(changes);
+    };
+    sources.read = [this](bool wanted)
+    {
+        this->reader->set_wanted(wanted);
+    };
     auto made = fleet::create(this->io, chosen, this->known.servers(),
                               std::move(sources));
     if (!made)
@@ -340,6 +361,11 @@
         return opened.error();
     }
     this->reader = std::move(*opened);
+    this->reader->on_confirmed(
+        [this]
+        {
+            this->peers->confirmed();
+        });
     return {};
 }
 
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -115,7 +115,7 @@
         return false;
     }
     this->items.erase(found);
-    this->removals.push_back({key, revision});
+    this->removals.push_back({key, revision, how});
     if (this->removals.size() > kept_removals)
     {
         this->known_from = this->removals.front().revision;
@@ -172,14 +172,14 @@
 
 void published::take_changes(const std::vector<published_item>& changes,
                              std::uint64_t revision,
-                             core::removal removed,
                              core::time_point now)
 {
     bool news = false;
     for (const published_item& item : changes)
     {
-        news |= item.removed ? this->drop(item.key, item.revision, removed, now)
-                             : this->take(item, now);
+        news |= item.removed
+                    ? this->drop(item.key, item.revision, item.how, now)
+                    : this->take(item, now);
     }
     this->at = std::max(this->at, revision);
     if (news)
@@ -196,7 +196,7 @@
     {
         if (complete || held.revision > revision)
         {
-            changes.push_back({key, held.revision, held.value});
+            changes.push_back(json::array({key, held.revision, held.value}));
         }
     }
     if (!complete)
@@ -205,7 +205,9 @@
         {
             if (item.revision > revision)
             {
-                changes.push_back({item.key, item.revision});
+                const bool lapsed = item.how == core::removal::lapsed;
+                changes.push_back(
+                    json::array({item.key, item.revision, lapsed}));
             }
         }
     }
@@ -231,10 +233,18 @@
             published_item change;
             change.key = item.at(0).get<std::string>();
             change.revision = item.at(1).get<std::uint64_t>();
-            change.removed = item.size() < 3;
-            if (!change.removed)
+            // The third element is the value, or whether a removed item may
+            // only have lapsed.
+            const json& last = item.at(2);
+            change.removed = last.is_boolean();
+            if (change.removed)
             {
-                change.value = item.at(2).get<std::string>();
+                change.how = last.get<bool>() ? core::removal::lapsed
+                                              : core::removal::certain;
+            }
+            else
+            {
+                change.value = last.get<std::string>();
             }
             changes.push_back(std::move(change));
         }
@@ -254,7 +264,7 @@
     }
     else
     {
-        this->take_changes(changes, revision, core::removal::certain, now);
+        this->take_changes(changes, revision, now);
     }
     return {};
 }
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -24,6 +24,7 @@
     std::string value;
     std::uint64_t revision = 0;
     bool removed = false;
+    core::removal how = core::removal::certain; ///< of a removed one
 };
 
 /// An item that is neither document nor server.
@@ -61,7 +62,6 @@
     /// Takes changes up to revision `at`.
     void take_changes(const std::vector<published_item>& items,
                       std::uint64_t at,
-                      core::removal removed,
                       core::time_point now);
 
     /// Changes after `revision` as text for another instance; a complete
@@ -104,6 +104,7 @@
     {
         std::string key;
         std::uint64_t revision = 0;
+        core::removal how = core::removal::certain;
     };
 
     bool take(const published_item& item, core::time_point now);
--- a/medlarbarrow/net/source.hpp
+++ b/medlarbarrow/net/source.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 
 namespace medlarbarrow::net
 {
@@ -24,6 +25,12 @@
 
     virtual void start() = 0;
 
+    /// Whether this instance is to read the source; it does from the start.
+    virtual void set_wanted(bool wanted) = 0;
+
+    /// Called after each answer of the source that confirms what is known.
+    virtual void on_confirmed(std::function<void()> confirmed) = 0;
+
     /// Ends all reads.
     virtual void close() = 0;
 
