--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -39,8 +39,8 @@
 constexpr double repeat_share = 0.5;
 
 /// Costs that order the servers, in units of a full server.
-constexpr double distance_cost = 0.15;
-constexpr double kept_connection_gain = 0.2;
+constexpr double distance_cost = 0.35;
+constexpr double kept_connection_gain = 0.15;
 constexpr double doubt_cost = 0.4;
 constexpr double random_cost = 0.05;
 
