Send once-only work to servers proven lately and away from lingering requests

Change: a server whose request runs past its typical time costs more before it is overdue; once-only work prefers servers with a success in the last 2 s, repeatable work the others.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -43,6 +43,15 @@
 constexpr double kept_connection_gain = 0.15;
 constexpr double doubt_cost = 0.4;
 constexpr double random_cost = 0.05;
+/// Of a request that runs longer than its kind of work mostly does: the server
+/// may have begun to hang.
+constexpr double lingering_cost = 0.6;
+constexpr double lingering_after = 1.3; ///< times the typical duration
+/// Of a server without a success for `proof_age`, to work that may be sent
+/// once only. Work that may be repeated goes there instead, and proves it.
+constexpr double unproven_cost = 0.3;
+constexpr double unproven_gain = 0.1;
+constexpr real_seconds proof_age{2.0};
 
 /// Idle connections of an instance are worth using for this long.
 constexpr seconds connection_age{8};
@@ -193,6 +202,56 @@
     return std::max<duration>(from_seconds(limit), least_overdue);
 }
 
+// How far each server's slowest running request is past its typical time: 0 at
+// first, 1 when it is overdue.
+std::map<std::string_view, double>
+placement::find_lingering(time_point now) const
+{
+    std::map<std::string_view, double> found;
+    for (const auto& [id, item] : this->grants)
+    {
+        const double begins =
+            lingering_after * in_seconds(this->typical(item.asked));
+        const double age = in_seconds(now - item.since);
+        if (age > begins)
+        {
+            const double whole = in_seconds(item.overdue_at - item.since);
+            const double part =
+                (age - begins) / std::max(whole - begins, 0.001);
+            double& most = found[item.server];
+            most = std::max(most, std::min(part + 0.3, 1.0));
+        }
+    }
+    return found;
+}
+
+// The server with the least cost gets the request.
+double placement::cost_of(const server_state& server,
+                          const place_request& asked,
+                          double lingering,
+                          time_point now) const
+{
+    double cost =
+        static_cast<double>(server.running) / this->capacity_of(server, now);
+    if (server.known.server.data_centre != asked.data_centre)
+    {
+        cost += distance_cost;
+    }
+    cost += doubt_cost * server.doubt;
+    cost += server.suspected ? greatest_doubt : 0.0;
+    cost += lingering_cost * lingering;
+    const auto used = server.used_by.find(asked.grant.instance);
+    if (used != server.used_by.end() && now - used->second < connection_age)
+    {
+        cost -= kept_connection_gain;
+    }
+    const double unproven =
+        std::min(in_seconds(now - server.proven) / proof_age.count(), 1.0);
+    cost +=
+        asked.repeatable ? -unproven_gain * unproven : unproven_cost * unproven;
+    return cost;
+}
+
 // A server with a free slot: little used, near, with a kept connection of the
 // asking instance. A request that has waited long also takes a doubtful server
 // or the queue of a busy one.
@@ -209,6 +268,7 @@
         static_cast<double>(trusted) <
         least_trusted_share * static_cast<double>(this->servers.size());
     std::uniform_real_distribution<double> noise(0.0, random_cost);
+    const auto lingering = this->find_lingering(now);
     server_state* best = nullptr;
     double least = 0.0;
     for (auto& [name, server] : this->servers)
@@ -221,17 +281,12 @@
         {
             continue;
         }
-        double cost = static_cast<double>(server.running) / capacity;
-        cost += server.known.server.data_centre == asked.data_centre
-                    ? 0.0
-                    : distance_cost;
-        cost += doubt_cost * server.doubt + noise(this->random);
-        cost += server.suspected ? greatest_doubt : 0.0;
-        const auto used = server.used_by.find(asked.grant.instance);
-        if (used != server.used_by.end() && now - used->second < connection_age)
-        {
-            cost -= kept_connection_gain;
-        }
+        const auto lingers = lingering.find(name);
+        const double cost =
+            this->cost_of(server, asked,
+                          lingers == lingering.end() ? 0.0 : lingers->second,
+                          now) +
+            noise(this->random);
         if (best == nullptr || cost < least)
         {
             best = &server;
@@ -464,6 +519,7 @@
         ++work.samples;
         if (where != this->servers.end())
         {
+            where->second.proven = now;
             this->clear_doubt(where->second, success_factor, now);
         }
         this->crashes.erase(ended.asked.content);
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -145,6 +145,7 @@
         double doubt = 0.0; ///< 1 and more: suspected
         time_point doubt_at{};
         time_point tested{}; ///< last send while suspected
+        time_point proven{}; ///< last success
         bool suspected = false;
         std::map<std::uint64_t, time_point> used_by; ///< instance, last send
     };
@@ -198,6 +199,11 @@
     void clear_doubt(server_state& server, double factor, time_point now);
     duration typical(const place_request& asked) const;
     duration overdue_after(const place_request& asked) const;
+    std::map<std::string_view, double> find_lingering(time_point now) const;
+    double cost_of(const server_state& server,
+                   const place_request& asked,
+                   double lingering,
+                   time_point now) const;
     server_state*
     choose(const place_request& asked, bool pressed, time_point now);
     server_state* due_for_test(const place_request& asked, time_point now);
