--- /dev/null
+++ b/standin/store.cpp
@@ -0,0 +1,327 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <standin/store.hpp>
+#include <thread>
+#include <vector>
+
+namespace medlarbarrow::standin
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using nlohmann::json;
+using error_code = boost::system::error_code;
+
+/// How often a waiting watch looks for changes.
+constexpr std::chrono::milliseconds watch_step{5};
+
+struct change
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool removed = false;
+};
+
+std::string encode_base64(const std::string& bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+json to_json(const change& item)
+{
+    if (item.removed)
+    {
+        return {{"key", item.key},
+                {"revision", item.revision},
+                {"tombstone", true}};
+    }
+    return {{"key", item.key},
+            {"value", encode_base64(item.value)},
+            {"revision", item.revision},
+            {"createRev", item.revision},
+            {"lease", 0}};
+}
+
+/// A member of the query, undecoded; empty when missing.
+std::string query_member(const std::string& target, const std::string& name)
+{
+    const auto mark = target.find('?');
+    std::string rest =
+        mark == std::string::npos ? "" : "&" + target.substr(mark + 1);
+    const auto at = rest.find("&" + name + "=");
+    if (at == std::string::npos)
+    {
+        return "";
+    }
+    rest = rest.substr(at + name.size() + 2);
+    return rest.substr(0, rest.find('&'));
+}
+
+std::uint64_t query_number(const std::string& target, const std::string& name)
+{
+    const std::string text = query_member(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+struct store::state
+{
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<http::response<http::string_body>>
+    answer(std::string target);
+    json list(const std::string& target);
+    bool has_changes(const std::string& prefix, std::uint64_t after);
+    json changes_after(const std::string& prefix, std::uint64_t after);
+
+    asio::io_context io{1};
+    tcp::acceptor acceptor{io};
+    std::thread thread;
+    mutable std::mutex mutex; ///< of what follows
+    std::map<std::string, change> items;
+    std::vector<change> history;
+    std::uint64_t history_from = 0;
+    std::uint64_t revision = 1;
+    store_faults faults;
+    store_counts counts;
+};
+
+json store::state::list(const std::string& target)
+{
+    const std::lock_guard guard(this->mutex);
+    ++this->counts.listings;
+    const std::string prefix = query_member(target, "prefix");
+    const std::string after = query_member(target, "after");
+    json listed = json::array();
+    bool more = false;
+    for (const auto& [key, item] : this->items)
+    {
+        if (!key.starts_with(prefix) || key <= after)
+        {
+            continue;
+        }
+        if (listed.size() == this->faults.page)
+        {
+            more = true;
+            break;
+        }
+        listed.push_back(to_json(item));
+    }
+    return {
+        {"items", listed}, {"hasMore", more}, {"currentRev", this->revision}};
+}
+
+bool store::state::has_changes(const std::string& prefix, std::uint64_t after)
+{
+    const std::lock_guard guard(this->mutex);
+    return after < this->history_from || this->faults.away ||
+           std::any_of(this->history.begin(), this->history.end(),
+                       [&](const change& item)
+                       {
+                           return item.revision > after &&
+                                  item.key.starts_with(prefix);
+                       });
+}
+
+json store::state::changes_after(const std::string& prefix, std::uint64_t after)
+{
+    const std::lock_guard guard(this->mutex);
+    json events = json::array();
+    for (const change& item : this->history)
+    {
+        if (item.revision > after && item.key.starts_with(prefix))
+        {
+            events.push_back(to_json(item));
+        }
+    }
+    return {{"events", events}, {"currentRev", this->revision}};
+}
+
+asio::awaitable<http::response<http::string_body>>
+store::state::answer(std::string target)
+{
+    http::response<http::string_body> made(http::status::ok, 11);
+    unsigned status = 0;
+    {
+        const std::lock_guard guard(this->mutex);
+        status = this->faults.status;
+    }
+    if (status != 0)
+    {
+        made.result(status);
+    }
+    else if (target.starts_with("/v1/kv-range"))
+    {
+        made.body() = this->list(target).dump();
+    }
+    else if (target.starts_with("/v1/kv-watch"))
+    {
+        const std::string prefix = query_member(target, "prefix");
+        const std::uint64_t after = query_number(target, "after");
+        const auto end =
+            std::chrono::steady_clock::now() +
+            std::chrono::milliseconds(query_number(target, "waitMs"));
+        {
+            const std::lock_guard guard(this->mutex);
+            ++this->counts.watches;
+        }
+        asio::steady_timer timer(this->io);
+        while (!this->has_changes(prefix, after) &&
+               std::chrono::steady_clock::now() < end)
+        {
+            timer.expires_after(watch_step);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        made.body() = this->changes_after(prefix, after).dump();
+        const std::lock_guard guard(this->mutex);
+        if (after < this->history_from)
+        {
+            made.result(http::status::gone);
+            made.body().clear();
+        }
+    }
+    else
+    {
+        made.result(http::status::not_found);
+    }
+    made.prepare_payload();
+    co_return made;
+}
+
+asio::awaitable<void> store::state::serve(tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    error_code failure;
+    while (!failure)
+    {
+        http::request<http::empty_body> asked;
+        co_await http::async_read(
+            socket, buffer, asked,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            break;
+        }
+        http::response<http::string_body> made =
+            co_await this->answer(std::string(asked.target()));
+        store_faults now;
+        {
+            const std::lock_guard guard(this->mutex);
+            now = this->faults;
+        }
+        if (now.away)
+        {
+            break;
+        }
+        if (now.silent)
+        {
+            asio::steady_timer forever(this->io, std::chrono::hours(1));
+            co_await forever.async_wait(asio::use_awaitable);
+        }
+        co_await http::async_write(
+            socket, made, asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
+asio::awaitable<void> store::state::accept()
+{
+    while (true)
+    {
+        error_code failure;
+        tcp::socket socket = co_await this->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            co_return;
+        }
+        asio::co_spawn(this->io, this->serve(std::move(socket)),
+                       asio::detached);
+    }
+}
+
+store::store() : self(std::make_unique<state>())
+{
+    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    this->self->acceptor.open(any.protocol());
+    this->self->acceptor.bind(any);
+    this->self->acceptor.listen();
+    asio::co_spawn(this->self->io, this->self->accept(), asio::detached);
+    this->self->thread = std::thread(
+        [this]
+        {
+            this->self->io.run();
+        });
+}
+
+store::~store()
+{
+    this->self->io.stop();
+    this->self->thread.join();
+}
+
+std::uint16_t store::port() const
+{
+    return this->self->acceptor.local_endpoint().port();
+}
+
+void store::put(const std::string& key, const std::string& value)
+{
+    const std::lock_guard guard(this->self->mutex);
+    const change made{key, value, ++this->self->revision, false};
+    this->self->items[key] = made;
+    this->self->history.push_back(made);
+}
+
+void store::remove(const std::string& key)
+{
+    const std::lock_guard guard(this->self->mutex);
+    this->self->items.erase(key);
+    this->self->history.push_back({key, "", ++this->self->revision, true});
+}
+
+void store::drop_history()
+{
+    const std::lock_guard guard(this->self->mutex);
+    this->self->history.clear();
+    this->self->history_from = ++this->self->revision;
+}
+
+void store::set_faults(const store_faults& faults)
+{
+    const std::lock_guard guard(this->self->mutex);
+    this->self->faults = faults;
+}
+
+store_counts store::counts() const
+{
+    const std::lock_guard guard(this->self->mutex);
+    return this->self->counts;
+}
+
+} // namespace medlarbarrow::standin
