--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -956,6 +956,19 @@
     }
 }
 
+void fleet::close()
+{
+    state& own = *this->self;
+    error_code ignored;
+    own.socket.close(ignored);
+    own.gossip_timer.cancel();
+    own.beacon_timer.cancel();
+    own.home_timer.cancel();
+    own.places.clear();
+    own.admits.clear();
+    own.ends.clear();
+}
+
 std::size_t fleet::live() const
 {
     return this->self->members.live(now());
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -103,6 +103,9 @@
     /// Tells the others that this instance stops; calls still work.
     void leave();
 
+    /// Ends all exchange; calls that wait get no answer.
+    void close();
+
     std::size_t live() const;
     const fleet_counters& counters() const noexcept;
 
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,393 @@
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/gateway.hpp>
+#include <standin/server.hpp>
+#include <thread>
+
+using namespace medlarbarrow;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr const char* test_key = "a-key-of-the-loft-account";
+
+core::route route_to(const std::string& name,
+                     const std::string& service,
+                     bool repeatable)
+{
+    core::route made;
+    made.name = name;
+    made.host = "a.example";
+    made.path_prefix = "/" + name + "/";
+    made.service = service;
+    made.split = {{service, 1}};
+    made.repeatable = repeatable;
+    made.deadline = 3s;
+    made.latency_objective = 600ms;
+    made.max_attempts = 2;
+    return made;
+}
+
+/// A UDP port that is free at the moment.
+std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    const boost::asio::ip::udp::socket probe(
+        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+}
+
+/// One instance: fleet and gateway on an address of its own.
+struct test_instance
+{
+    test_instance(boost::asio::io_context& io,
+                  const std::string& address,
+                  std::uint16_t port,
+                  const std::string& seed,
+                  const core::server_registry& servers)
+    {
+        net::fleet_settings chosen;
+        chosen.self = {address, port};
+        chosen.seeds = {seed};
+        chosen.incarnation = 1000;
+        net::fleet_sources sources;
+        sources.terms = [this](const std::string& account)
+        {
+            return this->entry->terms_of(account);
+        };
+        sources.revision = []
+        {
+            return std::uint64_t{1};
+        };
+        sources.on_newer = [](const std::string&, std::uint64_t) {};
+        sources.changes = [](std::uint64_t)
+        {
+            return std::string();
+        };
+        sources.on_changes = [](const std::string&) {};
+        sources.read = [](bool) {};
+        this->peers =
+            std::move(net::fleet::create(io, chosen, servers, sources).value());
+        net::gateway_settings settings;
+        settings.callers = {address, 0};
+        settings.data_centre = "suva";
+        settings.names.account = "Medlar-Account";
+        this->entry = std::move(
+            net::gateway::create(io, settings, *this->peers, servers).value());
+        EXPECT_FALSE(this->entry->start());
+        this->address = address;
+        this->peers->start();
+    }
+
+    std::unique_ptr<net::fleet> peers;
+    std::unique_ptr<net::gateway> entry;
+    std::string address;
+};
+
+struct test_answer
+{
+    unsigned status = 0;
+    std::string body;
+    bool cut = false; ///< the connection ended before the answer was whole
+};
+
+} // namespace
+
+/// Given a fleet of three instances before some servers of one service.
+class a_gateway_fleet : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->add_servers(4);
+        auto next = std::make_shared<core::document>();
+        next->version = 1;
+        next->routes = {route_to("browse", "desk", true),
+                        route_to("order", "desk", false)};
+        core::client_account account;
+        account.name = "loft";
+        account.keys = {{net::digest_key(test_key), false}};
+        account.rate_per_second = this->rate;
+        account.burst = this->rate;
+        next->accounts = {account};
+        this->document = next;
+        const std::uint16_t port = free_port();
+        for (int index = 0; index < 3; ++index)
+        {
+            const std::string address = "127.0.7." + std::to_string(index + 1);
+            this->fleet.push_back(std::make_unique<test_instance>(
+                this->io, address, port, "127.0.7.1", this->servers));
+            this->fleet.back()->entry->apply_document(this->document);
+        }
+        this->thread = std::thread(
+            [this]
+            {
+                this->io.run();
+            });
+        this->wait_until_joined();
+    }
+
+    void TearDown() override
+    {
+        this->io.stop();
+        this->thread.join();
+    }
+
+    void add_servers(unsigned count)
+    {
+        for (unsigned index = 0; index < count; ++index)
+        {
+            standin::server_options options;
+            options.name = "s" + std::to_string(index);
+            this->started.push_back(
+                std::make_unique<standin::server>(options));
+            core::announced_server known;
+            known.service = "desk";
+            known.started = 1;
+            known.server.name = options.name;
+            known.server.address = "127.0.0.1";
+            known.server.port = this->started.back()->port();
+            known.server.data_centre = "suva";
+            known.server.slots = 3;
+            known.server.connections = 360;
+            this->servers.put(known);
+        }
+    }
+
+    /// Runs `read` on the thread of the fleet.
+    template <class Read>
+    auto on_thread(Read read)
+    {
+        std::promise<decltype(read())> done;
+        boost::asio::post(this->io,
+                          [&]
+                          {
+                              done.set_value(read());
+                          });
+        return done.get_future().get();
+    }
+
+    void wait_until_joined()
+    {
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            const bool joined = this->on_thread(
+                [this]
+                {
+                    return std::all_of(this->fleet.begin(), this->fleet.end(),
+                                       [this](const auto& item)
+                                       {
+                                           return item->peers->live() ==
+                                                  this->fleet.size();
+                                       });
+                });
+            if (joined)
+            {
+                return;
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        FAIL() << "the instances did not find each other";
+    }
+
+    void set_modes(const standin::server_modes& modes)
+    {
+        for (const auto& server : this->started)
+        {
+            server->set_modes(modes);
+        }
+    }
+
+    test_answer call(std::size_t instance,
+                     const std::string& target,
+                     const std::string& key = test_key,
+                     const std::string& body = "")
+    {
+        boost::asio::io_context own;
+        tcp::socket socket(own);
+        const std::string address = this->fleet[instance]->address;
+        const std::uint16_t port = this->on_thread(
+            [this, instance]
+            {
+                return this->fleet[instance]->entry->port();
+            });
+        socket.connect({boost::asio::ip::make_address(address), port});
+        http::request<http::string_body> asked(
+            body.empty() ? http::verb::get : http::verb::post, target, 11);
+        asked.set(http::field::host, "a.example");
+        if (!key.empty())
+        {
+            asked.set(http::field::authorization, "Bearer " + key);
+        }
+        asked.body() = body;
+        asked.prepare_payload();
+        http::write(socket, asked);
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> got;
+        boost::system::error_code failure;
+        http::read(socket, buffer, got, failure);
+        return {got.result_int(), got.body(), static_cast<bool>(failure)};
+    }
+
+    std::size_t executions() const
+    {
+        std::size_t count = 0;
+        for (const auto& server : this->started)
+        {
+            count += server->journal().size();
+        }
+        return count;
+    }
+
+    double rate = 1000.0;
+    boost::asio::io_context io{1};
+    core::server_registry servers;
+    std::vector<std::unique_ptr<standin::server>> started;
+    std::shared_ptr<const core::document> document;
+    std::vector<std::unique_ptr<test_instance>> fleet;
+    std::thread thread;
+};
+
+// Guards against a request that is not served end to end, and against keys
+// that reach a server.
+TEST_F(a_gateway_fleet, serves_requests_at_every_instance)
+{
+    for (std::size_t instance = 0; instance < 3; ++instance)
+    {
+        const auto answer = this->call(instance, "/browse/x?bytes=3000");
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_EQ(answer.body.size(), 3000U);
+        EXPECT_FALSE(answer.cut);
+    }
+    for (const auto& server : this->started)
+    {
+        for (const standin::execution& run : server->journal())
+        {
+            bool named = false;
+            for (const auto& [name, value] : run.headers)
+            {
+                EXPECT_EQ(value.find(test_key), std::string::npos) << name;
+                named |= name == "Medlar-Account" && value == "loft";
+            }
+            EXPECT_TRUE(named);
+        }
+    }
+}
+
+// Guards against requests that run without an account or a route.
+TEST_F(a_gateway_fleet, refuses_unknown_keys_and_routes)
+{
+    EXPECT_EQ(this->call(0, "/browse/x", "another-key-altogether").status, 401U);
+    EXPECT_EQ(this->call(0, "/browse/x", "").status, 401U);
+    EXPECT_EQ(this->call(0, "/nowhere/x").status, 404U);
+    EXPECT_EQ(this->executions(), 0U);
+}
+
+// Guards against an order that runs twice because its answer was lost.
+TEST_F(a_gateway_fleet, sends_an_order_once_when_its_answer_is_lost)
+{
+    standin::server_modes modes;
+    modes.close_before_answer = true;
+    this->set_modes(modes);
+    const auto answer = this->call(0, "/order/x", test_key, "two nets");
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_EQ(this->executions(), 1U);
+}
+
+// Guards against an order that is given up although no server ran it.
+TEST_F(a_gateway_fleet, places_an_order_elsewhere_when_a_server_sheds)
+{
+    standin::server_modes modes;
+    modes.shed = true;
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        this->started[index]->set_modes(modes);
+    }
+    const auto answer = this->call(0, "/order/x", test_key, "two nets");
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(this->started[3]->journal().size(), 1U);
+}
+
+// Guards against a reader that waits for a server that hangs.
+TEST_F(a_gateway_fleet, sends_repeatable_work_to_a_second_server)
+{
+    standin::server_modes modes;
+    modes.hang = true;
+    for (std::size_t index = 0; index < 2; ++index)
+    {
+        this->started[index]->set_modes(modes);
+    }
+    for (int count = 0; count < 8; ++count)
+    {
+        EXPECT_EQ(this->call(0, "/browse/x").status, 200U) << count;
+    }
+}
+
+// Guards against a spoiled answer that looks whole to the caller.
+TEST_F(a_gateway_fleet, replaces_an_answer_that_breaks_off)
+{
+    standin::server_modes modes;
+    modes.close_mid_answer = true;
+    this->started[0]->set_modes(modes);
+    this->started[1]->set_modes(modes);
+    for (int count = 0; count < 8; ++count)
+    {
+        const auto answer = this->call(1, "/browse/x?bytes=20000");
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_EQ(answer.body.size(), 20000U);
+    }
+}
+
+// Guards against a fleet that stops serving when a home dies without a word.
+TEST_F(a_gateway_fleet, goes_on_when_an_instance_dies)
+{
+    this->on_thread(
+        [this]
+        {
+            this->fleet[2]->peers->close();
+            return true;
+        });
+    for (int count = 0; count < 6; ++count)
+    {
+        EXPECT_EQ(this->call(0, "/browse/x").status, 200U);
+        EXPECT_EQ(this->call(1, "/order/x", test_key, "one").status, 200U);
+    }
+}
+
+class a_gateway_fleet_with_a_small_limit : public a_gateway_fleet
+{
+protected:
+    a_gateway_fleet_with_a_small_limit()
+    {
+        this->rate = 10.0;
+    }
+};
+
+// Guards against an account that gets its limit once at each instance.
+TEST_F(a_gateway_fleet_with_a_small_limit, counts_over_all_instances)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    unsigned served = 0;
+    unsigned refused = 0;
+    for (std::size_t count = 0; count < 90; ++count)
+    {
+        const unsigned status = this->call(count % 3, "/browse/x").status;
+        served += status == 200 ? 1 : 0;
+        refused += status == 429 ? 1 : 0;
+    }
+    const std::chrono::duration<double> took =
+        std::chrono::steady_clock::now() - begin;
+    EXPECT_EQ(served + refused, 90U);
+    EXPECT_LE(served, 10 + 10 * took.count() + 1);
+    EXPECT_GE(served, 5U);
+    EXPECT_GT(refused, 0U);
+}
