Trace a failed request through the logs; split gateway and fleet by duty

request_ended names each send with its end and time; medlarctl trace prints what explains a request out of the logs of a fleet.

--- a/medlarbarrow/config/commands.cpp
+++ b/medlarbarrow/config/commands.cpp
@@ -13,7 +13,9 @@
 #include <medlarbarrow/config/document.hpp>
 #include <medlarbarrow/config/edit.hpp>
 #include <medlarbarrow/config/inspect.hpp>
+#include <medlarbarrow/config/log_trace.hpp>
 #include <medlarbarrow/config/report.hpp>
+#include <medlarbarrow/config/settings.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
 #include <ostream>
 
@@ -551,6 +553,40 @@
 }
 
 /// One row of the table of commands.
+// Prints the line of a request and those that explain it.
+exit_status trace(const invocation& call)
+{
+    std::vector<log_line> lines;
+    for (std::size_t index = 1; index < call.words.size(); ++index)
+    {
+        const std::string& path = call.words[index];
+        const auto text = config::read_file(path);
+        if (!text)
+        {
+            throw command_end{exit_status::failed, path + " cannot be read"};
+        }
+        std::istringstream rows(*text);
+        for (std::string row; std::getline(rows, row);)
+        {
+            lines.push_back(parse_log_line(path, row));
+        }
+    }
+    const request_trace found = trace_request(call.words.front(), lines);
+    if (found.ends.empty())
+    {
+        throw command_end{exit_status::negative,
+                          "no request_ended line has this id"};
+    }
+    ordered_json rows = ordered_json::array();
+    const auto add = [&rows](const log_line& line)
+    {
+        rows.push_back({{"file", line.source}, {"line", line.text}});
+    };
+    std::for_each(found.context.begin(), found.context.end(), add);
+    std::for_each(found.ends.begin(), found.ends.end(), add);
+    return call.show(rows, true);
+}
+
 struct command
 {
     std::string_view name;
@@ -605,6 +641,8 @@
             "one line for each instance; --from is repeated", instances},
     command{"config", "", 0, 0, "from timeout-ms",
             "versions in force at an instance", config_in_force},
+    command{"trace", "REQUEST-ID LOG-FILE...", 2, 10'000, "",
+            "shows the log lines that explain a request", trace},
 };
 
 constexpr std::string_view closing_help = R"(
--- a/medlarbarrow/core/request_flow.cpp
+++ b/medlarbarrow/core/request_flow.cpp
@@ -16,6 +16,24 @@
 
 } // namespace
 
+const char* name_of(send_end end) noexcept
+{
+    switch (end)
+    {
+    case send_end::answered:
+        return "answered";
+    case send_end::failed:
+        return "failed";
+    case send_end::not_run:
+        return "not_run";
+    case send_end::not_sent:
+        return "not_sent";
+    case send_end::lost:
+        break;
+    }
+    return "lost";
+}
+
 request_flow::request_flow(const flow_terms& chosen) : terms(chosen)
 {
     this->attempts.emplace_back();
--- a/medlarbarrow/core/request_flow.hpp
+++ b/medlarbarrow/core/request_flow.hpp
@@ -85,6 +85,9 @@
     lost,     ///< may have run: reset, spoiled or no answer
 };
 
+/// For logs, for example "not_run".
+const char* name_of(send_end end) noexcept;
+
 class request_flow
 {
 public:
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -6,6 +6,7 @@
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/service_homes.hpp>
 
 namespace medlarbarrow::net
 {
@@ -41,8 +42,6 @@
 constexpr unsigned seed_rounds = 4;
 constexpr unsigned announce_peers = 4;
 
-constexpr milliseconds home_tick{25};
-
 /// Changes larger than this are fetched over TCP.
 constexpr std::size_t beacon_changes = 1200;
 /// Beacons between two subscriptions.
@@ -92,13 +91,6 @@
         std::unique_ptr<asio::steady_timer> timer;
     };
 
-    /// Home duty for one service.
-    struct duty
-    {
-        core::placement decisions;
-        std::uint64_t registry_version = 0;
-    };
-
     state(asio::io_context& context,
           const fleet_settings& chosen,
           const core::server_registry& known,
@@ -110,7 +102,15 @@
                    (chosen.incarnation & 0xffffffffU)),
           members(address, chosen.incarnation, chosen.incarnation ^ address),
           duty_of_reading(address), socket(context), gossip_timer(context),
-          beacon_timer(context), home_timer(context)
+          beacon_timer(context), homes(context,
+                                       known,
+                                       chosen.repeats,
+                                       this->instance,
+                                       [this](const core::grant_id& grant,
+                                              const core::place_answer& late)
+                                       {
+                                           this->answer(grant, late);
+                                       })
     {
     }
 
@@ -137,13 +137,7 @@
     std::optional<core::instance_address> next_seed();
     void set_seeds(const std::vector<std::string>& addresses);
 
-    duty& duty_of(const std::string& service);
-    void refresh(duty& home, const std::string& service);
-    core::place_answer decide(const std::string& service,
-                              const core::place_request& asked);
     void answer(const core::grant_id& grant, const core::place_answer& answer);
-    void run_duty(const std::string& service, duty& home);
-    void arm_home_timer();
 
     void call_home(std::uint64_t number);
     void place_unanswered(std::uint64_t number);
@@ -174,8 +168,6 @@
     std::array<std::uint8_t, greatest_datagram> input{};
     asio::steady_timer gossip_timer;
     asio::steady_timer beacon_timer;
-    asio::steady_timer home_timer;
-    bool home_timer_armed = false;
     std::vector<core::instance_address> seeds;
     std::size_t seed_index = 0;
     unsigned rounds = 0;
@@ -185,7 +177,7 @@
     std::map<std::uint64_t, granted_state> grants;
     std::map<std::uint64_t, admit_call_state> admits;
     std::map<std::uint64_t, done_state> ends;
-    std::map<std::string, duty> duties;
+    service_homes homes;
     fleet_counters counts;
 };
 
@@ -451,34 +443,6 @@
     this->finish_admit(message.number, answer);
 }
 
-fleet::state::duty& fleet::state::duty_of(const std::string& service)
-{
-    const auto [found, fresh] = this->duties.try_emplace(
-        service, duty{core::placement(this->settings.repeats,
-                                      core::hash_text(service, this->instance)),
-                      0});
-    this->refresh(found->second, service);
-    return found->second;
-}
-
-void fleet::state::refresh(duty& home, const std::string& service)
-{
-    if (home.registry_version != this->servers.version())
-    {
-        home.registry_version = this->servers.version();
-        home.decisions.set_servers(this->servers.usable(service), now());
-    }
-}
-
-core::place_answer fleet::state::decide(const std::string& service,
-                                        const core::place_request& asked)
-{
-    duty& home = this->duty_of(service);
-    const core::place_answer answer = home.decisions.request(asked, now());
-    this->arm_home_timer();
-    return answer;
-}
-
 // Sends a late answer to the instance that waits for it.
 void fleet::state::answer(const core::grant_id& grant,
                           const core::place_answer& answer)
@@ -493,48 +457,6 @@
     this->send(address, core::place_reply{grant.number, answer});
 }
 
-void fleet::state::run_duty(const std::string& service, duty& home)
-{
-    this->refresh(home, service);
-    for (const core::late_answer& late : home.decisions.tick(now()))
-    {
-        this->answer(late.grant, late.answer);
-    }
-    for (const core::placement_event& event : home.decisions.take_events())
-    {
-        log::write(log::level::info, "server_" + event.change,
-                   {log::kv("service", service),
-                    log::kv("server", event.server),
-                    log::kv("reason", event.reason),
-                    log::kv("doubt", fmt::format("{:.2f}", event.doubt))});
-    }
-}
-
-void fleet::state::arm_home_timer()
-{
-    if (this->home_timer_armed)
-    {
-        return;
-    }
-    this->home_timer_armed = true;
-    this->wait_for(this->home_timer, home_tick,
-                   [this]
-                   {
-                       this->home_timer_armed = false;
-                       bool busy = false;
-                       for (auto& [service, home] : this->duties)
-                       {
-                           this->run_duty(service, home);
-                           busy |= home.decisions.running() > 0 ||
-                                   home.decisions.waiting() > 0;
-                       }
-                       if (busy)
-                       {
-                           this->arm_home_timer();
-                       }
-                   });
-}
-
 void fleet::state::on(core::instance_address from,
                       const core::place_call& message)
 {
@@ -545,9 +467,9 @@
         ++this->counts.datagrams_invalid;
         return;
     }
-    this->send(from,
-               core::place_reply{message.asked.grant.number,
-                                 this->decide(message.service, message.asked)});
+    this->send(from, core::place_reply{
+                         message.asked.grant.number,
+                         this->homes.request(message.service, message.asked)});
 }
 
 void fleet::state::on(core::instance_address from,
@@ -598,26 +520,7 @@
         return;
     }
     this->send(from, core::done_reply{message.grant.number});
-    for (auto& [service, home] : this->duties)
-    {
-        if (!message.service.empty() && service != message.service)
-        {
-            continue;
-        }
-        if (message.outcome == core::send_outcome::cancelled)
-        {
-            home.decisions.withdraw(message.grant, now());
-        }
-        else
-        {
-            home.decisions.finished(message.grant, message.outcome,
-                                    message.took, now());
-        }
-        if (home.decisions.waiting() > 0)
-        {
-            this->run_duty(service, home);
-        }
-    }
+    this->homes.finished(message);
 }
 
 void fleet::state::on(core::instance_address /*from*/,
@@ -666,7 +569,8 @@
     if (exhausted || call.homes[call.home] == this->own)
     {
         this->counts.local_decisions += exhausted ? 1 : 0;
-        const core::place_answer answer = this->decide(call.service, asked);
+        const core::place_answer answer =
+            this->homes.request(call.service, asked);
         if (!std::holds_alternative<core::queued>(answer))
         {
             this->finish_place(number, answer);
@@ -904,16 +808,7 @@
     const core::done_call message{held.service, grant, outcome, took};
     if (held.home == own.own)
     {
-        state::duty& home = own.duty_of(held.service);
-        if (outcome == core::send_outcome::cancelled)
-        {
-            home.decisions.withdraw(grant, now());
-        }
-        else
-        {
-            home.decisions.finished(grant, outcome, took, now());
-        }
-        own.arm_home_timer();
+        own.homes.finished(message);
         return;
     }
     state::done_state item;
@@ -963,7 +858,7 @@
     own.socket.close(ignored);
     own.gossip_timer.cancel();
     own.beacon_timer.cancel();
-    own.home_timer.cancel();
+    own.homes.close();
     own.places.clear();
     own.admits.clear();
     own.ends.clear();
--- /dev/null
+++ b/medlarbarrow/net/service_homes.cpp
@@ -0,0 +1,143 @@
+#include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/service_homes.hpp>
+
+namespace medlarbarrow::net
+{
+
+namespace
+{
+
+/// How often overdue requests are looked for while any runs.
+constexpr std::chrono::milliseconds tick_period{25};
+
+core::time_point now()
+{
+    return core::boot_clock::now();
+}
+
+} // namespace
+
+service_homes::service_homes(boost::asio::io_context& io,
+                             const core::server_registry& known,
+                             const core::repeat_limits& limits,
+                             std::uint64_t chosen_seed,
+                             answer_function to_answer)
+    : servers(known), repeats(limits), seed(chosen_seed),
+      answer(std::move(to_answer)), timer(io)
+{
+}
+
+service_homes::duty& service_homes::duty_of(const std::string& service)
+{
+    const auto [found, fresh] = this->duties.try_emplace(
+        service, duty{core::placement(this->repeats,
+                                      core::hash_text(service, this->seed)),
+                      0});
+    this->refresh(service, found->second);
+    return found->second;
+}
+
+void service_homes::refresh(const std::string& service, duty& home)
+{
+    if (home.registry_version != this->servers.version())
+    {
+        home.registry_version = this->servers.version();
+        home.decisions.set_servers(this->servers.usable(service), now());
+    }
+}
+
+core::place_answer service_homes::request(const std::string& service,
+                                          const core::place_request& asked)
+{
+    const core::place_answer decided =
+        this->duty_of(service).decisions.request(asked, now());
+    this->arm();
+    return decided;
+}
+
+void service_homes::finished(const core::done_call& ended)
+{
+    for (auto& [service, home] : this->duties)
+    {
+        if (!ended.service.empty() && service != ended.service)
+        {
+            continue;
+        }
+        if (ended.outcome == core::send_outcome::cancelled)
+        {
+            home.decisions.withdraw(ended.grant, now());
+        }
+        else
+        {
+            home.decisions.finished(ended.grant, ended.outcome, ended.took,
+                                    now());
+        }
+        if (home.decisions.waiting() > 0)
+        {
+            this->run(service, home);
+        }
+    }
+    this->arm();
+}
+
+// Answers what has waited and logs what is believed of servers anew.
+void service_homes::run(const std::string& service, duty& home)
+{
+    this->refresh(service, home);
+    for (const core::late_answer& late : home.decisions.tick(now()))
+    {
+        this->answer(late.grant, late.answer);
+    }
+    for (const core::placement_event& event : home.decisions.take_events())
+    {
+        log::write(log::level::info, "server_" + event.change,
+                   {log::kv("service", service),
+                    log::kv("server", event.server),
+                    log::kv("reason", event.reason),
+                    log::kv("doubt", fmt::format("{:.2f}", event.doubt)),
+                    log::kv("running", home.decisions.running()),
+                    log::kv("waiting", home.decisions.waiting())});
+    }
+}
+
+void service_homes::run_all()
+{
+    bool busy = false;
+    for (auto& [service, home] : this->duties)
+    {
+        this->run(service, home);
+        busy |= home.decisions.running() > 0 || home.decisions.waiting() > 0;
+    }
+    if (busy)
+    {
+        this->arm();
+    }
+}
+
+// An instance without running requests of its services does nothing.
+void service_homes::arm()
+{
+    if (this->armed)
+    {
+        return;
+    }
+    this->armed = true;
+    this->timer.expires_after(tick_period);
+    this->timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (!failure)
+            {
+                this->armed = false;
+                this->run_all();
+            }
+        });
+}
+
+void service_homes::close()
+{
+    this->timer.cancel();
+}
+
+} // namespace medlarbarrow::net
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -366,5 +366,5 @@
         EXPECT_NE(page.str().find("`" + name), std::string::npos) << name;
         ++commands;
     }
-    EXPECT_EQ(commands, 18);
+    EXPECT_EQ(commands, 19);
 }
--- /dev/null
+++ b/tests/log_trace_test.cpp
@@ -0,0 +1,111 @@
+#include <gtest/gtest.h>
+#include <medlarbarrow/config/log_trace.hpp>
+
+using namespace medlarbarrow;
+
+namespace
+{
+
+config::log_line line(const std::string& source,
+                      const std::string& second,
+                      const std::string& rest)
+{
+    return config::parse_log_line(source, "time=2026-12-04T13:09:" + second +
+                                              "Z level=info " + rest);
+}
+
+} // namespace
+
+// Guards against values that are split at spaces, quotes or equal signs.
+TEST(a_log_line, is_read_pair_by_pair)
+{
+    const auto read = config::parse_log_line(
+        "a.log", R"(host-1 time=t event=x reason="no \"way\" a=b" last=7)");
+    EXPECT_EQ(read.at("time"), "t");
+    EXPECT_EQ(read.at("reason"), "no \"way\" a=b");
+    EXPECT_EQ(read.at("last"), "7");
+    EXPECT_EQ(read.at("missing"), "");
+}
+
+/// Given the logs of an instance and of the home of its service.
+class logs_of_a_fleet : public testing::Test
+{
+protected:
+    std::vector<std::string> trace(const std::string& id)
+    {
+        std::vector<std::string> found;
+        const auto traced = config::trace_request(id, this->lines);
+        for (const auto& item : traced.context)
+        {
+            found.push_back(item.source + " " + std::string(item.at("event")));
+        }
+        for (const auto& item : traced.ends)
+        {
+            found.push_back(std::string(item.at("outcome")));
+        }
+        return found;
+    }
+
+    std::vector<config::log_line> lines{
+        line("home",
+             "01.000",
+             "event=server_suspected service=desk server=i-8 reason=old"),
+        line("entry", "20.000", "event=document_in_force version=14 before=12"),
+        line("other", "20.000", "event=document_in_force version=14 before=12"),
+        line("entry",
+             "20.100",
+             "event=request_ended id=b01c service=\"\" sends=\"\" status=401 "
+             "outcome=key_unknown"),
+        line("home",
+             "21.500",
+             "event=server_suspected service=desk server=i-9 "
+             "reason=\"answer overdue\""),
+        line("home",
+             "21.600",
+             "event=server_suspected service=specs server=i-2 reason=x"),
+        line("entry",
+             "22.000",
+             "event=request_ended id=77d0 service=desk sends=i-9:lost/2497 "
+             "status=504 outcome=server_timeout"),
+        line("home",
+             "22.500",
+             "event=server_suspected service=desk server=i-7 reason=later"),
+        line("entry",
+             "22.600",
+             "event=request_ended id=9c41 service=desk sends=\"\" status=503 "
+             "outcome=deadline_unreachable")};
+};
+
+// Guards against a refused request whose cause cannot be found: the servers
+// that its service had lost.
+TEST_F(logs_of_a_fleet, explain_a_refused_request)
+{
+    EXPECT_EQ(this->trace("9c41"),
+              (std::vector<std::string>{
+                  "entry document_in_force", "home server_suspected",
+                  "home server_suspected", "deadline_unreachable"}));
+}
+
+// Guards against an unknown outcome that is not connected with its server.
+TEST_F(logs_of_a_fleet, explain_an_unknown_outcome_at_a_gray_server)
+{
+    EXPECT_EQ(
+        this->trace("77d0"),
+        (std::vector<std::string>{"entry document_in_force",
+                                  "home server_suspected", "server_timeout"}));
+}
+
+// Guards against a withdrawn key that is not connected with the change.
+TEST_F(logs_of_a_fleet, explain_a_request_lost_to_a_change)
+{
+    EXPECT_EQ(
+        this->trace("b01c"),
+        (std::vector<std::string>{"entry document_in_force", "key_unknown"}));
+}
+
+// Guards against an answer for an id that is not in the logs.
+TEST_F(logs_of_a_fleet, say_nothing_of_an_unknown_request)
+{
+    EXPECT_TRUE(this->trace("0000").empty());
+    EXPECT_TRUE(this->trace("").empty());
+}
