--- a/medlarbarrow/core/quota.cpp
+++ b/medlarbarrow/core/quota.cpp
@@ -7,7 +7,6 @@
 namespace
 {
 
-constexpr double initial_fill = 0.5;
 constexpr std::chrono::seconds longest_retry_after{5};
 
 } // namespace
@@ -23,7 +22,7 @@
     const double rate = terms.rate_per_second * terms.share;
     const double capacity = std::max(terms.burst * terms.share, 1.0);
     const auto [found, fresh] = this->buckets.try_emplace(
-        account, bucket{capacity * initial_fill, now});
+        account, bucket{capacity * terms.initial_fill, now});
     bucket& own = found->second;
     const std::chrono::duration<double> passed = now - own.updated;
     own.updated = now;
--- a/medlarbarrow/core/quota.hpp
+++ b/medlarbarrow/core/quota.hpp
@@ -14,6 +14,8 @@
     double rate_per_second = 0.0; ///< 0: no limit
     double burst = 0.0;           ///< requests
     double share = 1.0; ///< part of the fleet that this home speaks for
+    /// Part of the burst that a new bucket holds.
+    double initial_fill = 0.5;
 };
 
 struct quota_answer
@@ -22,8 +24,8 @@
     duration retry_after{}; ///< until the next request would be granted
 };
 
-/// Token buckets by account. A new bucket starts half full, because an earlier
-/// home may just have granted the burst.
+/// Token buckets by account. A new bucket does not start full, because an
+/// earlier home may just have granted the burst.
 class quota_home
 {
 public:
--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -1,5 +1,4 @@
 #include <medlarbarrow/core/registry.hpp>
-#include <set>
 
 namespace medlarbarrow::core
 {
@@ -47,30 +46,6 @@
     ++this->changes;
 }
 
-void server_registry::replace(std::vector<announced_server> all,
-                              removal missing,
-                              time_point now)
-{
-    std::set<std::string> listed;
-    for (const announced_server& next : all)
-    {
-        listed.insert(next.server.name);
-        this->put(next);
-    }
-    std::vector<std::string> gone;
-    for (const auto& [name, item] : this->entries)
-    {
-        if (!listed.contains(name))
-        {
-            gone.push_back(name);
-        }
-    }
-    for (const std::string& name : gone)
-    {
-        this->remove(name, missing, now);
-    }
-}
-
 bool server_registry::tick(time_point now)
 {
     const std::size_t ended = std::erase_if(
--- a/medlarbarrow/core/registry.hpp
+++ b/medlarbarrow/core/registry.hpp
@@ -40,10 +40,6 @@
 
     void remove(const std::string& name, removal how, time_point now);
 
-    /// Takes a complete listing; servers missing from it are removed.
-    void
-    replace(std::vector<announced_server> all, removal missing, time_point now);
-
     /// Ends grace times that have passed; true when something changed.
     bool tick(time_point now);
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -32,14 +32,22 @@
 constexpr unsigned done_repeats = 4;
 
 constexpr milliseconds gossip_period{500};
-/// Until an instance knows another one.
+/// Until an instance knows another one, and for a while after its start: after
+/// the end of all processes every instance is its own home until it has heard
+/// of the others, and what these grant adds up.
 constexpr milliseconds join_period{100};
+constexpr std::chrono::seconds join_time{1};
+/// Part of its burst that an account gets from a home that has just started,
+/// which others may not know yet.
+constexpr std::chrono::seconds settle_time{3};
+constexpr double unsettled_fill = 0.15;
 constexpr std::size_t gossip_entries = 16;
-/// Entries for an instance that asks for the first time.
+/// Entries from and for an instance that has just started.
 constexpr std::size_t join_entries = 64;
 /// Rounds of gossip between messages to a seed; they join fleets that a
 /// partition has separated for long.
 constexpr unsigned seed_rounds = 4;
+constexpr unsigned join_seed_rounds = 2;
 constexpr unsigned announce_peers = 4;
 
 /// Changes larger than this are fetched over TCP.
@@ -134,6 +142,7 @@
 
     core::gossip make_gossip(bool wants_reply, std::size_t entries);
     void gossip_round();
+    bool has_run_for(core::duration time) const;
     std::optional<core::instance_address> next_seed();
     void set_seeds(const std::vector<std::string>& addresses);
 
@@ -158,6 +167,7 @@
     fleet_sources sources;
     core::instance_address own;
     std::uint64_t instance; ///< this start, in grants
+    core::time_point started = now();
     core::membership members;
     core::quota_home quotas;
     core::reader_duty duty_of_reading;
@@ -280,24 +290,32 @@
     return this->seeds[this->seed_index];
 }
 
+bool fleet::state::has_run_for(core::duration time) const
+{
+    return now() - this->started >= time;
+}
+
 void fleet::state::gossip_round()
 {
     this->members.tick(now());
+    const bool joining = !this->has_run_for(join_time);
+    const std::size_t entries = joining ? join_entries : gossip_entries;
     const auto peer = this->members.random_peer(now());
     const bool alone = !peer.has_value();
     if (peer)
     {
-        this->send(*peer, this->make_gossip(true, gossip_entries));
+        this->send(*peer, this->make_gossip(true, entries));
     }
-    if (alone || ++this->rounds % seed_rounds == 0)
+    const unsigned every = joining ? join_seed_rounds : seed_rounds;
+    if (alone || ++this->rounds % every == 0)
     {
         if (const auto seed = this->next_seed())
         {
-            this->send(*seed, this->make_gossip(true, gossip_entries));
+            this->send(*seed, this->make_gossip(true, entries));
         }
     }
-    const milliseconds period = alone ? join_period : gossip_period;
-    this->wait_for(this->gossip_timer, period,
+    this->wait_for(this->gossip_timer,
+                   alone || joining ? join_period : gossip_period,
                    [this]
                    {
                        this->gossip_round();
@@ -311,7 +329,9 @@
         this->members.left(from, message.incarnation, now());
         return;
     }
-    const bool joins = message.members.size() < gossip_entries / 2;
+    // The first messages of an instance hold fewer entries than those of one
+    // that has long run, the next ones more.
+    const bool joins = message.members.size() != gossip_entries;
     this->members.heard(from, message.incarnation, now());
     this->members.merge(message.members, now());
     if (message.wants_reply)
@@ -409,6 +429,10 @@
         return {true, {}};
     }
     terms->share = share;
+    if (!this->has_run_for(settle_time))
+    {
+        terms->initial_fill = unsettled_fill;
+    }
     return this->quotas.take(account, *terms, now());
 }
 
