Take a removal as a lapse only after an outage that no instance saw answered

Ruled out: late propagation (all instances knew the removal within 95 ms). Change: only what is missing within 1 s of the store's return is a lapse, and a confirmation from another reader ends the outage; readers hear each other.

--- a/medlarbarrow/core/model.hpp
+++ b/medlarbarrow/core/model.hpp
@@ -122,7 +122,7 @@
     double burst = 0.0;           ///< requests, fleet-wide
     std::vector<account_key> keys;
     /// Order of urgency of its requests, instead of the route's.
-    std::optional<std::uint32_t> rank;
+    std::optional<std::uint32_t> rank{};
 };
 
 struct fleet_policy
--- a/medlarbarrow/core/readers.cpp
+++ b/medlarbarrow/core/readers.cpp
@@ -51,8 +51,7 @@
     {
         readers.pop_back();
     }
-    this->heard_from =
-        this->is_reader ? std::vector<instance_address>() : std::move(readers);
+    this->heard_from = std::move(readers);
 }
 
 bool reader_duty::must_read(time_point now) const
--- a/medlarbarrow/core/readers.hpp
+++ b/medlarbarrow/core/readers.hpp
@@ -27,7 +27,8 @@
     /// True while this instance must read the source.
     bool must_read(time_point now) const;
 
-    /// The readers that this instance hears from.
+    /// The readers that this instance hears from; a reader hears from others,
+    /// since the source may refuse it alone.
     const std::vector<instance_address>& chosen() const noexcept
     {
         return this->heard_from;
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -52,6 +52,8 @@
 
 /// Changes larger than this are fetched over TCP.
 constexpr std::size_t beacon_changes = 1200;
+/// A reader whose newest answer is older is itself without the source.
+constexpr milliseconds fresh_confirmation{1500};
 /// Beacons between two subscriptions.
 constexpr unsigned subscribe_rounds = 3;
 
@@ -368,6 +370,10 @@
     }
     // What is known here is at least as new as what the source confirmed.
     this->duty_of_reading.confirmed(message.age, now());
+    if (message.age < fresh_confirmation)
+    {
+        this->sources.peer_confirmed();
+    }
 }
 
 void fleet::state::send_beacons(std::uint64_t since)
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -36,6 +36,8 @@
     /// Changes after a revision as text, and their taking.
     std::function<std::string(std::uint64_t since)> changes;
     std::function<void(const std::string& changes)> on_changes;
+    /// Another instance has just had an answer of the source.
+    std::function<void()> peer_confirmed;
     /// This instance must read the source, or need not any more.
     std::function<void(bool wanted)> read;
 };
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -247,6 +247,10 @@
     {
         this->take_changes(changes);
     };
+    sources.peer_confirmed = [this]
+    {
+        this->reader->confirmed_by_peer();
+    };
     sources.read = [this](bool wanted)
     {
         this->reader->set_wanted(wanted);
--- a/medlarbarrow/net/source.hpp
+++ b/medlarbarrow/net/source.hpp
@@ -31,6 +31,10 @@
     /// Called after each answer of the source that confirms what is known.
     virtual void on_confirmed(std::function<void()> confirmed) = 0;
 
+    /// Another instance has had an answer of the source: a failure here is not
+    /// an outage of the source.
+    virtual void confirmed_by_peer() = 0;
+
     /// Ends all reads.
     virtual void close() = 0;
 
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -194,6 +194,72 @@
         }));
 }
 
+// Guards against work for a server that has left, told by a reader that the
+// store had refused while it served the others.
+TEST_F(a_reader_of_the_store,
+       takes_a_removal_as_certain_when_others_had_answers)
+{
+    this->source.put("servers/i-1", server_text("ready"));
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable() == 1;
+        }));
+    standin::store_faults faults;
+    faults.status = 503;
+    this->source.set_faults(faults);
+    for (int count = 0; count < 13; ++count)
+    {
+        this->io.run_for(std::chrono::milliseconds(200));
+        this->io.restart();
+        this->reader->confirmed_by_peer();
+    }
+    this->source.remove("servers/i-1");
+    this->source.set_faults({});
+    const std::uint64_t before = this->known.revision();
+    ASSERT_TRUE(this->run_until(
+        [this, before]
+        {
+            return this->known.revision() > before;
+        }));
+    EXPECT_EQ(this->usable(), 0U);
+}
+
+// Guards against work for a server that left a while after an outage: only what
+// is missing at the store's return may have lapsed.
+TEST_F(a_reader_of_the_store, takes_a_removal_as_certain_soon_after_an_outage)
+{
+    this->source.put("servers/i-1", server_text("ready"));
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable() == 1;
+        }));
+    standin::store_faults faults;
+    faults.away = true;
+    this->source.set_faults(faults);
+    this->io.run_for(2500ms);
+    this->io.restart();
+    this->source.set_faults({});
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->reader->is_reachable();
+        }));
+    this->io.run_for(1500ms);
+    this->io.restart();
+    this->source.remove("servers/i-1");
+    const std::uint64_t before = this->known.revision();
+    ASSERT_TRUE(this->run_until(
+        [this, before]
+        {
+            return this->known.revision() > before;
+        }));
+    EXPECT_EQ(this->usable(), 0U);
+}
+
 // Guards against work for a server that has left, because one call to the store
 // failed shortly before.
 TEST_F(a_reader_of_the_store, takes_a_removal_as_certain_after_one_failed_call)
