--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -134,7 +134,7 @@
     return true;
 }
 
-void published::take_listing(std::vector<published_item> listing,
+void published::take_listing(const std::vector<published_item>& listing,
                              std::uint64_t revision,
                              core::removal missing,
                              core::time_point now)
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -54,7 +54,7 @@
     published(item_reader read, std::function<void()> on_change);
 
     /// Takes a complete listing as of revision `at`.
-    void take_listing(std::vector<published_item> items,
+    void take_listing(const std::vector<published_item>& items,
                       std::uint64_t at,
                       core::removal missing,
                       core::time_point now);
--- a/medlarbarrow/net/service_homes.cpp
+++ b/medlarbarrow/net/service_homes.cpp
@@ -50,7 +50,7 @@
 core::place_answer service_homes::request(const std::string& service,
                                           const core::place_request& asked)
 {
-    const core::place_answer decided =
+    core::place_answer decided =
         this->duty_of(service).decisions.request(asked, now());
     this->arm();
     return decided;
