--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -69,6 +69,8 @@
         posix_spawn_file_actions_addopen(&files, STDERR_FILENO,
                                          this->log_path.c_str(),
                                          O_CREAT | O_WRONLY | O_TRUNC, 0600);
+        // The log goes to standard output, failures to start to the other.
+        posix_spawn_file_actions_adddup2(&files, STDERR_FILENO, STDOUT_FILENO);
         const int failed = posix_spawn(&this->id, program.c_str(), &files,
                                        nullptr, words.data(), environ);
         posix_spawn_file_actions_destroy(&files);
