--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -259,8 +259,7 @@
     }
     if (complete)
     {
-        this->take_listing(std::move(changes), revision, core::removal::certain,
-                           now);
+        this->take_listing(changes, revision, core::removal::certain, now);
     }
     else
     {
