--- a/medlarbarrow/config/commands.cpp
+++ b/medlarbarrow/config/commands.cpp
@@ -111,6 +111,7 @@
     }
     const auto& named = std::get<document_index>(index);
     std::vector<std::string> parts;
+    parts.reserve(named.part_names.size());
     for (const std::string& name : named.part_names)
     {
         parts.push_back(read_file(folder / name));
--- a/medlarbarrow/core/limits.cpp
+++ b/medlarbarrow/core/limits.cpp
@@ -370,6 +370,7 @@
     }
     this->next_sweep = now + home_sweep_period;
     std::vector<std::string> idle;
+    idle.reserve(this->accounts.size());
     for (const auto& [account, unused] : this->accounts)
     {
         idle.push_back(account);
--- a/medlarbarrow/core/membership.cpp
+++ b/medlarbarrow/core/membership.cpp
@@ -174,6 +174,7 @@
                       ranked.begin() + static_cast<std::ptrdiff_t>(kept),
                       ranked.end(), std::greater<>());
     std::vector<instance_address> found;
+    found.reserve(kept);
     for (std::size_t index = 0; index < kept; ++index)
     {
         found.push_back(ranked[index].second);
--- a/medlarbarrow/core/node.cpp
+++ b/medlarbarrow/core/node.cpp
@@ -157,7 +157,7 @@
                 {
                     if (permitted && request.content == item.request)
                     {
-                        request.crash_permitted = *permitted;
+                        request.crash_permitted = permitted;
                     }
                 }
             },
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -372,7 +372,7 @@
     {
         ++this->counts_at(now).repeats;
     }
-    const placed answer{made.server, this->typical(asked), overdue};
+    placed answer{made.server, this->typical(asked), overdue};
     this->grants[asked.grant] = std::move(made);
     return answer;
 }
--- a/medlarbarrow/core/readers.cpp
+++ b/medlarbarrow/core/readers.cpp
@@ -78,6 +78,7 @@
                       return now - item.second >= subscription;
                   });
     std::vector<instance_address> found;
+    found.reserve(this->asking.size());
     for (const auto& [address, asked] : this->asking)
     {
         found.push_back(address);
--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -81,6 +81,7 @@
 std::vector<const announced_server*> server_registry::all() const
 {
     std::vector<const announced_server*> found;
+    found.reserve(this->entries.size());
     for (const auto& [name, item] : this->entries)
     {
         found.push_back(&item.known);
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -474,6 +474,7 @@
         return;
     }
     std::vector<std::string> seeds;
+    seeds.reserve(next->seeds.size());
     for (const config::endpoint& seed : next->seeds)
     {
         seeds.push_back(seed.address);
--- a/standin/standin_server_main.cpp
+++ b/standin/standin_server_main.cpp
@@ -71,7 +71,8 @@
         sigaddset(&ends, SIGTERM);
         pthread_sigmask(SIG_BLOCK, &ends, nullptr);
         const server running(read_options(given));
-        std::cout << fmt::format("port={}", running.port()) << std::endl;
+        std::cout << fmt::format("port={}", running.port()) << '\n'
+                  << std::flush;
         int received = 0;
         sigwait(&ends, &received);
         return 0;
--- a/test.sh
+++ b/test.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 ./build.sh build
-ctest --test-dir build --output-on-failure -j 4
+ctest --test-dir build --output-on-failure -j "$(nproc)"
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -20,13 +20,33 @@
 namespace medlarbarrow::tests
 {
 
-/// Port of the loopback address that is free now.
+/// Port of the loopback address that is free now. Processes of tests that run
+/// side by side look in different places, below the ports that the system gives
+/// to outgoing connections: another test could take one of those before the
+/// program that is to listen there starts.
 inline std::uint16_t free_port()
 {
+    constexpr std::uint32_t first = 10'000;
+    constexpr std::uint32_t range = 20'000;
+    constexpr std::uint32_t step_per_process = 97;
+    static std::uint32_t tried = 0;
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(
-        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    for (std::uint32_t left = range; left > 0; --left)
+    {
+        const std::uint32_t offset =
+            static_cast<std::uint32_t>(::getpid()) * step_per_process + ++tried;
+        const auto port = static_cast<std::uint16_t>(first + offset % range);
+        boost::asio::ip::tcp::acceptor acceptor(context);
+        boost::system::error_code failure;
+        acceptor.open(boost::asio::ip::tcp::v4(), failure);
+        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port},
+                      failure);
+        if (!failure)
+        {
+            return port;
+        }
+    }
+    return 0;
 }
 
 /// Calls `condition` every 20 ms until it holds or the time is over. The limit
--- a/tests/result_codes_test.cpp
+++ b/tests/result_codes_test.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <medlarbarrow/core/result_codes.hpp>
@@ -32,9 +33,9 @@
             continue;
         }
         ++checked;
-        const std::string row = "| " + std::to_string(value) + " | `" + name +
-                                "` | " + core::make_error_code(code).message() +
-                                " |";
+        const std::string row =
+            fmt::format("| {} | `{}` | {} |", value, name,
+                        core::make_error_code(code).message());
         EXPECT_NE(table.find(row), std::string::npos) << row;
     }
     EXPECT_GT(checked, 40);
