Stop although nobody reads the log, and count every line left out

Cause: log::stop() joined a thread that waited for a full pipe, so an instance whose log reader had stopped could only be killed.

Change: the writer thread writes without a buffer of the C library, several waiting lines at once; stop() waits half a second for it; what was left out is reported at the end too.

--- a/medlarbarrow/net/log.cpp
+++ b/medlarbarrow/net/log.cpp
@@ -1,14 +1,17 @@
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
+#include <future>
 #include <map>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/ring.hpp>
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <unistd.h>
 
 namespace medlarbarrow::net::log
 {
@@ -19,6 +22,12 @@
 constexpr std::size_t queue_lines = 4096;
 constexpr unsigned lines_per_second = 100;
 
+/// Lines that wait are written together up to about this size.
+constexpr std::size_t write_bytes = 4096;
+
+/// The end of the process waits this long for a reader that has stopped.
+constexpr std::chrono::milliseconds stop_limit{500};
+
 constexpr std::array<std::string_view, 4> level_names{"debug", "info",
                                                       "warning", "error"};
 
@@ -33,6 +42,7 @@
 {
     bounded_ring<std::string> queue{queue_lines};
     std::thread thread;
+    std::promise<void> done; ///< all lines are written
     std::mutex mutex;
     std::map<std::string, event_rate, std::less<>> rates;
 };
@@ -97,23 +107,52 @@
     return line;
 }
 
-void put(const std::string& line)
+// Writes without a buffer of the C library, which the end of the process would
+// try to flush to a reader that has stopped.
+void put(std::string_view text)
+{
+    while (!text.empty())
+    {
+        const ssize_t written =
+            ::write(STDOUT_FILENO, text.data(), text.size());
+        if (written < 0 && errno != EINTR)
+        {
+            return; // nobody is left to read the log
+        }
+        text.remove_prefix(
+            static_cast<std::size_t>(std::max<ssize_t>(written, 0)));
+    }
+}
+
+std::string drops_line()
 {
-    std::fwrite(line.data(), 1, line.size(), stdout);
-    std::fflush(stdout);
+    const std::uint64_t dropped = unreported_drops.exchange(0);
+    if (dropped == 0)
+    {
+        return {};
+    }
+    return make_line(level::warning, "log_lines_dropped",
+                     {kv("lines", dropped)});
 }
 
 void run(writer& target)
 {
     while (auto line = target.queue.wait_pop())
     {
-        put(*line);
-        if (const std::uint64_t dropped = unreported_drops.exchange(0))
+        std::string text = std::move(*line);
+        while (text.size() < write_bytes)
         {
-            put(make_line(level::warning, "log_lines_dropped",
-                          {kv("lines", dropped)}));
+            const auto next = target.queue.try_pop();
+            if (!next)
+            {
+                break;
+            }
+            text += *next;
         }
+        put(text + drops_line());
     }
+    put(drops_line());
+    target.done.set_value();
 }
 
 // One noisy event must not crowd out the others.
@@ -145,6 +184,7 @@
 void start(level least)
 {
     least_level = least;
+    unreported_drops = 0;
     active = std::make_unique<writer>();
     active->thread = std::thread(
         [target = active.get()]
@@ -160,8 +200,16 @@
         return;
     }
     active->queue.close();
-    active->thread.join();
-    active.reset();
+    const auto written = active->done.get_future().wait_for(stop_limit);
+    if (written == std::future_status::ready)
+    {
+        active->thread.join();
+        active.reset();
+        return;
+    }
+    // The thread still waits for the reader and uses the writer.
+    active->thread.detach();
+    static_cast<void>(active.release());
 }
 
 void write(level severity,
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -148,7 +148,8 @@
             for (const auto& [name, item] : this->instances)
             {
                 const std::string log = item->log();
-                std::cerr << "log of " << name << ":\n"
+                std::cerr << "log of " << name << ", " << item->state()
+                          << ":\n"
                           << log.substr(log.size() - std::min<std::size_t>(
                                                          log.size(), 4000));
             }
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,160 @@
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <future>
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/log.hpp>
+#include <thread>
+#include <unistd.h>
+
+using namespace medlarbarrow;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Only ends a test that would hang.
+constexpr std::chrono::seconds patience{20};
+
+} // namespace
+
+/// Given a log whose standard output is a pipe that this test reads.
+class log_to_a_pipe : public testing::Test
+{
+protected:
+    log_to_a_pipe()
+    {
+        std::signal(SIGPIPE, SIG_IGN); // as the programs do
+        this->kept = ::dup(STDOUT_FILENO);
+        EXPECT_EQ(::pipe(this->ends.data()), 0);
+        ::dup2(this->ends[1], STDOUT_FILENO);
+        ::close(this->ends[1]);
+        net::log::start(net::log::level::info);
+    }
+
+    ~log_to_a_pipe() override
+    {
+        this->restore_output();
+        ::close(this->kept);
+        ::close(this->ends[0]);
+    }
+
+    /// Closes the end that writes; results of the test go to the old output.
+    void restore_output() const
+    {
+        ::dup2(this->kept, STDOUT_FILENO);
+    }
+
+    /// What has been written, until the writer closes its end.
+    std::string read_all() const
+    {
+        std::string text;
+        std::array<char, 4096> part{};
+        ssize_t got = 0;
+        while ((got = ::read(this->ends[0], part.data(), part.size())) > 0)
+        {
+            text.append(part.data(), static_cast<std::size_t>(got));
+        }
+        return text;
+    }
+
+    /// Events of many names, so that no rate of one event bounds them.
+    static void write_many(int count)
+    {
+        constexpr int names = 200;
+        for (int index = 0; index < count; ++index)
+        {
+            net::log::write(net::log::level::info,
+                            fmt::format("event_{}", index % names),
+                            {net::log::kv("index", index),
+                             net::log::kv("text", std::string(80, 'x'))});
+        }
+    }
+
+    int kept = -1;
+    std::array<int, 2> ends{};
+};
+
+class log_that_nobody_reads : public log_to_a_pipe
+{
+};
+
+// Guards against a request that waits for the reader of the log, and against a
+// shutdown that hangs until it is killed.
+TEST_F(log_that_nobody_reads, loses_lines_and_stops)
+{
+    const std::uint64_t before = net::log::dropped_lines();
+    auto written = std::async(std::launch::async,
+                              []
+                              {
+                                  write_many(15'000);
+                              });
+    const bool returned =
+        written.wait_for(patience) == std::future_status::ready;
+    auto stopped = std::async(std::launch::async,
+                              []
+                              {
+                                  net::log::stop();
+                              });
+    const bool ended = stopped.wait_for(patience) == std::future_status::ready;
+    const std::uint64_t lost = net::log::dropped_lines() - before;
+    // Whatever still waits for the pipe can go on now.
+    ::fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+    while (!ended && stopped.wait_for(10ms) != std::future_status::ready)
+    {
+        this->read_all();
+    }
+    this->restore_output();
+    EXPECT_TRUE(returned);
+    EXPECT_TRUE(ended);
+    // The pipe and the queue hold fewer lines than were written.
+    EXPECT_GT(lost, 8'000U);
+}
+
+// Guards against a log that grows with the load, and against lines that are
+// left out without a count.
+TEST_F(log_to_a_pipe, bounds_one_event_and_counts_what_it_leaves_out)
+{
+    constexpr std::uint64_t count = 20'000;
+    constexpr std::uint64_t lines_per_second = 100;
+    const std::uint64_t before = net::log::dropped_lines();
+    auto text = std::async(std::launch::async,
+                           [this]
+                           {
+                               return this->read_all();
+                           });
+    const auto began = std::chrono::steady_clock::now();
+    for (std::uint64_t index = 0; index < count; ++index)
+    {
+        net::log::write(net::log::level::info, "request_ended",
+                        {net::log::kv("index", index)});
+    }
+    const auto seconds_begun =
+        1 + static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::seconds>(
+                    std::chrono::steady_clock::now() - began)
+                    .count());
+    const std::uint64_t lost = net::log::dropped_lines() - before;
+    net::log::stop();
+    this->restore_output();
+    const std::string got = text.get();
+    std::uint64_t lines = 0;
+    std::uint64_t reported = 0;
+    for (std::size_t at = 0; at < got.size();)
+    {
+        const std::size_t end = got.find('\n', at);
+        const std::string line = got.substr(at, end - at);
+        lines += line.find("event=request_ended") != std::string::npos;
+        const std::size_t where = line.find("log_lines_dropped lines=");
+        if (where != std::string::npos)
+        {
+            reported += std::stoull(line.substr(line.rfind('=') + 1));
+        }
+        at = end + 1;
+    }
+    EXPECT_LE(lines, lines_per_second * seconds_begun);
+    EXPECT_EQ(lines + lost, count);
+    EXPECT_EQ(reported, lost);
+}
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -130,6 +130,24 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     }
 
+    /// For a failed test: whether it runs, or how it ended.
+    std::string state()
+    {
+        int status = 0;
+        if (!this->running)
+        {
+            return "ended before";
+        }
+        if (::waitpid(this->id, &status, WNOHANG) != this->id)
+        {
+            return "running";
+        }
+        this->running = false;
+        return WIFEXITED(status)
+                   ? "exit status " + std::to_string(WEXITSTATUS(status))
+                   : "signal " + std::to_string(WTERMSIG(status));
+    }
+
     bool is_running() const
     {
         return this->running && ::waitpid(this->id, nullptr, WNOHANG) == 0;
