Fuzz the matching of answers with a server that misbehaves by script

A property sends requests over kept connections to a server that answers each in one of sixteen manners: cut, doubled, without an end, another request's, noise. What reaches a caller must be the whole answer to its own request, and 'not run' must have been said.

--- /dev/null
+++ b/tests/answer_fuzz_test.cpp
@@ -0,0 +1,190 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/upstream.hpp>
+#include <platform/names.hpp>
+#include <rapidcheck/gtest.h>
+#include <standin/scripted_server.hpp>
+
+using namespace medlarbarrow;
+using core::attempt_end;
+using standin::answer_manner;
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// A caller without a body that keeps what it gets.
+class keeping_caller : public net::caller_port
+{
+public:
+    asio::awaitable<net::body_part> read_body(std::uint64_t,
+                                              const bool&) override
+    {
+        co_return net::body_part{{}, true, false};
+    }
+
+    void wake() override {}
+
+    asio::awaitable<bool> write_head(const net::answer_head& head,
+                                     std::string_view part,
+                                     bool last) override
+    {
+        this->status = head.status;
+        const bool written = co_await this->write_part(part, last);
+        co_return written;
+    }
+
+    asio::awaitable<bool> write_part(std::string_view part, bool last) override
+    {
+        this->body += part;
+        this->whole = last;
+        co_return true;
+    }
+
+    bool is_gone() const override
+    {
+        return false;
+    }
+
+    unsigned status = 0;
+    std::string body;
+    bool whole = false;
+};
+
+/// Sends requests one after the other over kept connections.
+class sender
+{
+public:
+    explicit sender(std::uint16_t port)
+    {
+        this->step.service = "logbook";
+        this->step.server.name = "logbook-1";
+        this->step.server.address = "127.0.0.1";
+        this->step.server.port = port;
+        this->step.server.connections = 2;
+        this->request.method = "GET";
+        this->request.target = "/a";
+        this->request.lines = "Host: reef.example\r\n";
+    }
+
+    core::attempt_result send(const std::string& id)
+    {
+        constexpr std::chrono::seconds deadline{20};
+        this->request.id = id;
+        this->step.deadline = core::boot_clock::now() + deadline;
+        this->caller = std::make_shared<keeping_caller>();
+        core::attempt_result result;
+        bool ended = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                result = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{},
+                    *this->caller);
+                ended = true;
+            },
+            asio::detached);
+        this->io.restart();
+        while (!ended && this->io.run_one() > 0)
+        {
+        }
+        return result;
+    }
+
+    asio::io_context io;
+    net::upstream servers{this->io.get_executor(), config::entry_bounds{},
+                          platform::header_names()};
+    core::step_send step;
+    net::checked_request request;
+    std::shared_ptr<keeping_caller> caller;
+};
+
+bool answers_whole(answer_manner manner)
+{
+    return manner <= answer_manner::failure || manner == answer_manner::twice ||
+           manner == answer_manner::stray_first ||
+           manner == answer_manner::with_stray;
+}
+
+standin::scripted_names names()
+{
+    const net::interface_names chosen = platform::header_names();
+    return {chosen.request_id, chosen.not_run};
+}
+
+/// What a request sees depends on what an earlier answer left on the
+/// connection, so that any request may fail; but an answer that is passed on
+/// must be the whole one to this request.
+void check(const sender& from,
+           const core::attempt_result& result,
+           const std::string& id,
+           answer_manner manner)
+{
+    if (result.end == attempt_end::answered)
+    {
+        RC_ASSERT(from.caller->whole);
+        RC_ASSERT(from.caller->body == standin::scripted_server::body_of(id));
+        RC_LOG() << "manner " << static_cast<int>(manner);
+        RC_ASSERT(answers_whole(manner));
+        RC_ASSERT(result.status ==
+                  (manner == answer_manner::failure ? 500U : 200U));
+    }
+    if (result.end == attempt_end::refused_not_run)
+    {
+        RC_ASSERT(manner == answer_manner::shed);
+    }
+    // The server reads every request that is sent.
+    RC_ASSERT(result.end != attempt_end::not_sent);
+    RC_ASSERT(result.end != attempt_end::timed_out);
+}
+
+} // namespace
+
+// Guards against an answer that is cut, spoiled, doubled or another request's
+// and reaches a caller, and against a false "not run".
+RC_GTEST_PROP(answers_of_a_faulty_server,
+              reach_only_their_own_caller_and_whole,
+              ())
+{
+    static standin::scripted_server server(names());
+    const auto script =
+        *rc::gen::container<std::vector<answer_manner>>(rc::gen::map(
+            rc::gen::inRange(0, static_cast<int>(answer_manner::last) + 1),
+            [](int number)
+            {
+                return static_cast<answer_manner>(number);
+            }));
+    server.play(script);
+    sender from(server.port());
+    std::size_t number = 0;
+    for (const answer_manner manner : script)
+    {
+        const std::string id = fmt::format("request-{}", ++number);
+        check(from, from.send(id), id, manner);
+    }
+}
+
+// Guards against a check above that holds because nothing is ever answered.
+TEST(answers_of_a_sound_server, all_arrive)
+{
+    standin::scripted_server server(names());
+    const std::vector<answer_manner> script{
+        answer_manner::with_length, answer_manner::chunked,
+        answer_manner::in_pieces,   answer_manner::after_continue,
+        answer_manner::failure,     answer_manner::until_close,
+        answer_manner::with_length};
+    server.play(script);
+    sender from(server.port());
+    for (const answer_manner manner : script)
+    {
+        const std::string id =
+            fmt::format("request-{}", static_cast<int>(manner));
+        const core::attempt_result result = from.send(id);
+        EXPECT_EQ(result.end, attempt_end::answered) << id;
+        EXPECT_EQ(from.caller->body, standin::scripted_server::body_of(id));
+    }
+}
