--- a/medlarbarrow/net/log.hpp
+++ b/medlarbarrow/net/log.hpp
@@ -39,8 +39,8 @@
 /// Starts the writer thread; events below `least` are dropped.
 void start(level least);
 
-/// Writes what is queued and ends the writer thread. Waits for a reader that has
-/// stopped for half a second only; the lines left then are lost.
+/// Writes what is queued and ends the writer thread. Waits for a reader that
+/// has stopped for half a second only; the lines left then are lost.
 void stop();
 
 /// Queues one event. Never blocks: when the queue is full, or the event
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -148,8 +148,7 @@
             for (const auto& [name, item] : this->instances)
             {
                 const std::string log = item->log();
-                std::cerr << "log of " << name << ", " << item->state()
-                          << ":\n"
+                std::cerr << "log of " << name << ", " << item->state() << ":\n"
                           << log.substr(log.size() - std::min<std::size_t>(
                                                          log.size(), 4000));
             }
