--- a/medlarbarrow/net/codec.cpp
+++ b/medlarbarrow/net/codec.cpp
@@ -408,7 +408,7 @@
         const auto bound = static_cast<std::uint64_t>(Period(greatest).count());
         if (this->require(count <= bound))
         {
-            value = Period(static_cast<Period::rep>(count));
+            value = Period(static_cast<typename Period::rep>(count));
         }
     }
 
--- a/medlarbarrow/net/log.cpp
+++ b/medlarbarrow/net/log.cpp
@@ -47,7 +47,7 @@
     std::map<std::string, event_rate, std::less<>> rates;
 };
 
-std::unique_ptr<writer> active;
+std::shared_ptr<writer> active;
 std::atomic<level> least_level{level::info};
 std::atomic<std::uint64_t> unreported_drops{0};
 std::atomic<std::uint64_t> all_drops{0};
@@ -185,9 +185,9 @@
 {
     least_level = least;
     unreported_drops = 0;
-    active = std::make_unique<writer>();
+    active = std::make_shared<writer>();
     active->thread = std::thread(
-        [target = active.get()]
+        [target = active]
         {
             run(*target);
         });
@@ -207,9 +207,9 @@
         active.reset();
         return;
     }
-    // The thread still waits for the reader and uses the writer.
+    // The thread still waits for the reader and keeps the writer alive.
     active->thread.detach();
-    static_cast<void>(active.release());
+    active.reset();
 }
 
 void write(level severity,
