--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -1,3 +1,5 @@
+#include "recording_caller.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -10,50 +12,13 @@
 using namespace medlarbarrow;
 using core::attempt_end;
 using standin::answer_manner;
+using tests::recording_caller;
 
 namespace
 {
 
 namespace asio = boost::asio;
 
-/// A caller without a body that keeps what it gets.
-class keeping_caller : public net::caller_port
-{
-public:
-    asio::awaitable<net::body_part> read_body(std::uint64_t,
-                                              const bool&) override
-    {
-        co_return net::body_part{{}, true, false};
-    }
-
-    void wake() override {}
-
-    asio::awaitable<bool> write_head(const net::answer_head& head,
-                                     std::string_view part,
-                                     bool last) override
-    {
-        this->status = head.status;
-        const bool written = co_await this->write_part(part, last);
-        co_return written;
-    }
-
-    asio::awaitable<bool> write_part(std::string_view part, bool last) override
-    {
-        this->body += part;
-        this->whole = last;
-        co_return true;
-    }
-
-    bool is_gone() const override
-    {
-        return false;
-    }
-
-    unsigned status = 0;
-    std::string body;
-    bool whole = false;
-};
-
 /// Sends requests one after the other over kept connections.
 class sender
 {
@@ -75,7 +40,7 @@
         constexpr std::chrono::seconds deadline{20};
         this->request.id = id;
         this->step.deadline = core::boot_clock::now() + deadline;
-        this->caller = std::make_shared<keeping_caller>();
+        this->caller = std::make_shared<recording_caller>();
         core::attempt_result result;
         bool ended = false;
         asio::co_spawn(
@@ -100,7 +65,7 @@
                           platform::header_names()};
     core::step_send step;
     net::checked_request request;
-    std::shared_ptr<keeping_caller> caller;
+    std::shared_ptr<recording_caller> caller;
 };
 
 bool answers_whole(answer_manner manner)
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,3 +1,5 @@
+#include "recording_caller.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,59 +11,13 @@
 using namespace medlarbarrow;
 using core::attempt_end;
 using std::chrono::milliseconds;
+using tests::recording_caller;
 
 namespace
 {
 
 namespace asio = boost::asio;
 
-/// A caller whose request has no body; it records what it receives.
-class recording_caller : public net::caller_port
-{
-public:
-    asio::awaitable<net::body_part> read_body(std::uint64_t,
-                                              const bool&) override
-    {
-        co_return net::body_part{{}, true, false};
-    }
-
-    void wake() override {}
-
-    asio::awaitable<bool> write_head(const net::answer_head& head,
-                                     std::string_view part,
-                                     bool last) override
-    {
-        this->status = head.status;
-        const bool written = co_await this->write_part(part, last);
-        co_return written;
-    }
-
-    asio::awaitable<bool> write_part(std::string_view part, bool last) override
-    {
-        this->body += part;
-        this->whole = last;
-        co_return !this->refuses;
-    }
-
-    bool is_gone() const override
-    {
-        return false;
-    }
-
-    void leave()
-    {
-        if (const auto callback = this->on_gone)
-        {
-            callback();
-        }
-    }
-
-    unsigned status = 0;
-    std::string body;
-    bool whole = false;
-    bool refuses = false; ///< every write fails
-};
-
 class attempts : public ::testing::Test
 {
 protected:
