--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -351,19 +351,21 @@
     step.server = known->server;
     step.deadline = this->ends;
     step.expected_server = action.server;
-    item.sent =
-        std::make_shared<send>(this->caller,
-                               [self = this->shared_from_this(),
-                                number = action.number, mine = this->serial]
-                               {
-                                   if (self->serial != mine || !self->flow)
-                                   {
-                                       return false;
-                                   }
-                                   self->flow->on_answer_begun(number);
-                                   self->changed.notify();
-                                   return true;
-                               });
+    item.sent = std::make_shared<send>(
+        this->caller,
+        // Not an owner: the session owns the send.
+        [weak = this->weak_from_this(), number = action.number,
+         mine = this->serial]
+        {
+            const auto self = weak.lock();
+            if (!self || self->serial != mine || !self->flow)
+            {
+                return false;
+            }
+            self->flow->on_answer_begun(number);
+            self->changed.notify();
+            return true;
+        });
     ++this->summary.attempts;
     asio::co_spawn(this->owner->io,
                    item.sent->run(this->owner->connections, step, this->request,
--- a/medlarbarrow/net/send.cpp
+++ b/medlarbarrow/net/send.cpp
@@ -53,9 +53,8 @@
                                                 trace::context span)
 {
     const auto keep_alive = this->shared_from_this();
-    core::attempt_result result =
+    const core::attempt_result result =
         co_await servers.attempt(step, request, span, *this);
-    this->claim = nullptr;
     co_return result;
 }
 
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -207,14 +207,14 @@
         // leases of its predecessor have ended: let it have started earlier.
         this->document->fleet.max_instances = 1;
         const auto started = core::boot_clock::now() - std::chrono::minutes(1);
-        this->node = std::make_unique<core::node>(
-            std::move(*core::node::create(own, started)));
+        this->node =
+            std::make_unique<core::node>(*core::node::create(own, started));
         ASSERT_FALSE(this->node->apply_document(this->document, now()));
         core::listed_instance itself;
         itself.name = "entry-1";
         ASSERT_FALSE(this->node->apply_list({1, {itself}}, now()));
-        this->entry = std::move(*net::entry::create(
-            this->io, this->settings, *this->node, [](core::outbox&&) {}));
+        this->entry = *net::entry::create(this->io, this->settings, *this->node,
+                                          [](core::outbox&&) {});
         this->entry->apply_document(*this->document);
         ASSERT_FALSE(this->entry->start());
         this->schedule_tick();
@@ -231,7 +231,12 @@
     {
         std::packaged_task<decltype(work())()> task(std::forward<Work>(work));
         auto future = task.get_future();
-        asio::post(this->io, std::move(task));
+        // As a function: Boost.Asio takes the future out of a task given to it.
+        asio::post(this->io,
+                   [&task]
+                   {
+                       task();
+                   });
         return future.get();
     }
 
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -93,9 +93,18 @@
 
 constexpr std::uint64_t large = 50'000'000;
 
-/// Resident memory of this process in bytes.
-std::uint64_t resident_bytes()
+// A sanitizer's own function; absent from a plain build.
+extern "C" __attribute__((weak)) std::size_t
+__sanitizer_get_current_allocated_bytes(); // NOLINT
+
+/// The memory of the process in bytes. Under a sanitizer that of its heap: the
+/// sanitizer's records of accesses are resident too.
+std::uint64_t bytes_in_use()
 {
+    if (__sanitizer_get_current_allocated_bytes != nullptr)
+    {
+        return __sanitizer_get_current_allocated_bytes();
+    }
     std::ifstream file("/proc/self/statm");
     std::uint64_t total = 0;
     std::uint64_t resident = 0;
@@ -279,7 +288,7 @@
 {
     caller hotel(this->port());
     hotel.raw().set_option(asio::socket_base::receive_buffer_size(65536));
-    [[maybe_unused]] const std::uint64_t before = resident_bytes();
+    const std::uint64_t before = bytes_in_use();
     hotel.send(get("/reports/1?bytes=" + std::to_string(large)));
     std::uint64_t sent = 0;
     int unchanged = 0;
@@ -292,9 +301,7 @@
     }
     // The rest is in socket buffers of the system, which have bounds too.
     EXPECT_LT(sent, large / 2);
-#ifndef __SANITIZE_ADDRESS__
-    EXPECT_LT(resident_bytes(), before + 4'000'000);
-#endif
+    EXPECT_LT(bytes_in_use(), before + 4'000'000);
     const answer got = hotel.receive();
     EXPECT_FALSE(got.failure);
     EXPECT_EQ(got.message.body().size(), large);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -112,8 +112,8 @@
                        fmt::format("medlarbarrow-{}", ::getpid());
         std::filesystem::create_directories(this->folder);
         std::ofstream(this->folder / "secret") << "a-fleet-secret-for-tests";
-        this->platform = std::move(
-            *standin::platform::create(this->context, {"127.0.0.1", 0}));
+        this->platform =
+            *standin::platform::create(this->context, {"127.0.0.1", 0});
         this->make_document();
         this->platform->publish(this->document);
         this->list.version = 1;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -74,14 +75,13 @@
         sources.on_changes = [](const std::string&) {};
         sources.peer_confirmed = [] {};
         sources.read = [](bool) {};
-        this->peers =
-            std::move(net::fleet::create(io, chosen, servers, sources).value());
+        this->peers = net::fleet::create(io, chosen, servers, sources).value();
         net::gateway_settings settings;
         settings.callers = {address, 0};
         settings.data_centre = "suva";
         settings.names.account = "Medlar-Account";
-        this->entry = std::move(
-            net::gateway::create(io, settings, *this->peers, servers).value());
+        this->entry =
+            net::gateway::create(io, settings, *this->peers, servers).value();
         EXPECT_FALSE(this->entry->start());
         this->address = address;
         this->peers->start();
@@ -124,21 +124,32 @@
         {
             const std::string address = "127.0.7." + std::to_string(index + 1);
             this->fleet.push_back(std::make_unique<test_instance>(
-                this->io, address, port, "127.0.7.1", this->servers));
+                *this->io, address, port, "127.0.7.1", this->servers));
             this->fleet.back()->entry->apply_document(this->document);
         }
         this->thread = std::thread(
             [this]
             {
-                this->io.run();
+                this->io->run();
             });
         this->wait_until_joined();
     }
 
     void TearDown() override
     {
-        this->io.stop();
-        this->thread.join();
+        this->end_fleet();
+    }
+
+    /// Ends the event loop and frees all that runs on it.
+    void end_fleet()
+    {
+        if (this->thread.joinable())
+        {
+            this->io->stop();
+            this->thread.join();
+            this->fleet.clear();
+            this->io.reset();
+        }
     }
 
     void add_servers(unsigned count)
@@ -166,7 +177,7 @@
     auto on_thread(Read read)
     {
         std::promise<decltype(read())> done;
-        boost::asio::post(this->io,
+        boost::asio::post(*this->io,
                           [&]
                           {
                               done.set_value(read());
@@ -248,7 +259,8 @@
     }
 
     double rate = 1000.0;
-    boost::asio::io_context io{1};
+    std::unique_ptr<boost::asio::io_context> io =
+        std::make_unique<boost::asio::io_context>(1);
     core::server_registry servers;
     std::vector<std::unique_ptr<standin::server>> started;
     std::shared_ptr<const core::document> document;
@@ -317,6 +329,42 @@
     EXPECT_EQ(this->started[3]->journal().size(), 1U);
 }
 
+// Guards against a connection that is never freed because its unfinished send
+// refers to it: a caller then waits for an end that does not come.
+TEST_F(a_gateway_fleet, frees_unfinished_requests_with_the_event_loop)
+{
+    standin::server_modes modes;
+    modes.hang = true;
+    this->set_modes(modes);
+    const tcp::endpoint at(
+        boost::asio::ip::make_address(this->fleet[0]->address),
+        this->on_thread(
+            [this]
+            {
+                return this->fleet[0]->entry->port();
+            }));
+    boost::asio::io_context own;
+    tcp::socket caller(own);
+    caller.connect(at);
+    boost::asio::write(
+        caller, boost::asio::buffer("POST /order/x HTTP/1.1\r\nHost: a.example"
+                                    "\r\nAuthorization: Bearer " +
+                                    std::string(test_key) + "\r\n\r\n"));
+    const auto limit = std::chrono::steady_clock::now() + 10s;
+    while (this->executions() == 0 && std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    ASSERT_EQ(this->executions(), 1U);
+    this->end_fleet();
+    caller.non_blocking(true);
+    char byte = 0;
+    boost::system::error_code failure;
+    caller.read_some(boost::asio::buffer(&byte, 1), failure);
+    EXPECT_NE(failure, boost::asio::error::would_block);
+    EXPECT_TRUE(failure);
+}
+
 // Guards against a reader that waits for a server that hangs.
 TEST_F(a_gateway_fleet, sends_repeatable_work_to_a_second_server)
 {
