--- a/bench/load_model.cpp
+++ b/bench/load_model.cpp
@@ -30,8 +30,10 @@
 constexpr milliseconds failing_time{5};
 /// A caller comes back at most this often.
 constexpr std::uint32_t most_returns = 3;
-/// Instances of the second choice when a home is silent.
+/// The usual home of a service and the one asked when it is silent.
 constexpr std::size_t homes_per_service = 2;
+/// Servers of a service that an instance uses when each has a share.
+constexpr std::size_t share_servers = 4;
 
 /// Calls functions in the order of their times; equal times in the order in
 /// which they were added.
@@ -90,6 +92,7 @@
 struct job
 {
     bool cancelled = false;
+    std::function<void()> taken; ///< runs or waits at the server
     std::function<void(core::send_end)> ended;
     duration takes{};
     bool hangs = false;
@@ -147,7 +150,7 @@
     std::vector<attempt> attempts;
     std::uint64_t serial = 0; ///< tries of the caller
     std::uint32_t returns = 0;
-    std::uint32_t executions = 0;
+    std::uint32_t executions = 0; ///< servers that took it
 };
 
 using request_ptr = std::shared_ptr<model_request>;
@@ -307,9 +310,10 @@
         for (std::size_t server = 0; server < made_service.announced.size();
              ++server)
         {
+            const std::size_t from_first =
+                (server + kind.servers - home % kind.servers) % kind.servers;
             const bool mine = this->chosen.decided_by != placing::share ||
-                              server % count == home % count ||
-                              home % made_service.announced.size() == server;
+                              from_first < share_servers;
             if (mine)
             {
                 usable.push_back(&made_service.announced[server]);
@@ -687,6 +691,11 @@
     const auto placed = std::make_shared<job>();
     placed->takes = std::chrono::duration_cast<duration>(request->kind->median *
                                                          varied(this->random));
+    placed->taken = [this, request]
+    {
+        ++request->executions;
+        ++this->made.taken;
+    };
     placed->ended = [this, request, way, number = action.number,
                      serial = request->serial,
                      sent = std::weak_ptr<job>(placed)](core::send_end end)
@@ -708,11 +717,6 @@
                       {
                           if (!placed->cancelled)
                           {
-                              if (!this->trouble_at(request->service, server,
-                                                    trouble_kind::stop))
-                              {
-                                  ++request->executions;
-                              }
                               this->receive(request->service, server, placed);
                           }
                       });
@@ -746,19 +750,22 @@
             std::chrono::duration<double>(item->takes) *
             (any(this->random) < slow->share ? slow->factor : 1.0));
     }
+    const service_kind& kind = *this->services[service].kind;
+    if (at.running.size() >= kind.slots && at.waiting.size() >= kind.queue)
+    {
+        item->ended(core::send_end::not_run);
+        return;
+    }
+    item->taken();
     this->made.most_running = std::max<std::uint64_t>(
         this->made.most_running, at.running.size() + at.waiting.size() + 1);
-    if (at.running.size() < this->services[service].kind->slots)
+    if (at.running.size() < kind.slots)
     {
         this->start_job(service, server, item);
     }
-    else if (at.waiting.size() < this->services[service].kind->queue)
-    {
-        at.waiting.push_back(item);
-    }
     else
     {
-        item->ended(core::send_end::not_run);
+        at.waiting.push_back(item);
     }
 }
 
--- a/bench/load_model.hpp
+++ b/bench/load_model.hpp
@@ -111,6 +111,7 @@
     std::vector<kind_report> kinds;
     std::vector<second_report> seconds;
     std::uint64_t sends = 0;
+    std::uint64_t taken = 0; ///< sends that a server ran or began to run
     std::uint64_t second_sends = 0;
     std::uint64_t returns = 0;       ///< callers that came back when told to
     std::uint64_t home_messages = 0; ///< between instance and home, both ways
--- a/bench/load_report.cpp
+++ b/bench/load_report.cpp
@@ -99,12 +99,12 @@
             quantile(kind.milliseconds, 0.5),
             quantile(kind.milliseconds, 0.99));
     }
-    text += fmt::format("sends {}, second sends {}, returns {}, messages "
-                        "between instance and home {}, ran twice {}, most at "
-                        "one server {}\n",
-                        report.sends, report.second_sends, report.returns,
-                        report.home_messages, report.ran_twice,
-                        report.most_running);
+    text += fmt::format(
+        "sends {}, taken {}, second sends {}, returns {}, messages "
+        "between instance and home {}, ran twice {}, most at "
+        "one server {}\n",
+        report.sends, report.taken, report.second_sends, report.returns,
+        report.home_messages, report.ran_twice, report.most_running);
     return text;
 }
 
--- a/tests/load_model_test.cpp
+++ b/tests/load_model_test.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <iterator>
+#include <map>
 
 using namespace medlarbarrow;
 using namespace std::chrono_literals;
@@ -120,7 +121,14 @@
         chosen.troubles = {trouble_of(bench::trouble_kind::hang, 0.3, 0.8),
                            trouble_of(bench::trouble_kind::stop, 0.4),
                            trouble_of(bench::trouble_kind::home, 0.0)};
-        EXPECT_EQ(bench::run_load(chosen).ran_twice, 0U) << seed;
+        const bench::load_report placed_together = bench::run_load(chosen);
+        EXPECT_EQ(placed_together.ran_twice, 0U) << seed;
+        EXPECT_GT(placed_together.taken, 0U);
+        // Servers shed work when nobody sees all of it.
+        chosen.decided_by = bench::placing::own;
+        const bench::load_report placed_apart = bench::run_load(chosen);
+        EXPECT_EQ(placed_apart.ran_twice, 0U) << seed;
+        EXPECT_LT(placed_apart.taken, placed_apart.sends);
     }
 }
 
@@ -133,8 +141,35 @@
     EXPECT_LE(bench::run_load(chosen).most_running,
               chosen.services[0].slots + 1U);
     chosen.decided_by = bench::placing::own;
-    EXPECT_GT(bench::run_load(chosen).most_running,
-              chosen.services[0].slots + 1U);
+    const std::uint64_t most = bench::run_load(chosen).most_running;
+    EXPECT_GT(most, chosen.services[0].slots + 1U);
+    EXPECT_LE(most, chosen.services[0].slots + chosen.services[0].queue);
+}
+
+// Guards the choice of one placing instance per service: with twice the load
+// that the servers can take and some of them gray, it must serve more requests
+// in time than instances that each see only their own.
+TEST(a_fleet_under_load, serves_most_when_one_instance_places)
+{
+    std::map<bench::placing, std::uint64_t> served;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    {
+        bench::experiment chosen = small_experiment();
+        chosen.seed = seed;
+        chosen.peak = 4.0;
+        chosen.troubles = {trouble_of(bench::trouble_kind::hang, 0.2, 0.8)};
+        for (const auto way :
+             {bench::placing::home, bench::placing::own, bench::placing::share})
+        {
+            chosen.decided_by = way;
+            for (const bench::kind_report& kind : bench::run_load(chosen).kinds)
+            {
+                served[way] += kind.in_objective;
+            }
+        }
+    }
+    EXPECT_GT(served[bench::placing::home], served[bench::placing::own]);
+    EXPECT_GT(served[bench::placing::home], served[bench::placing::share]);
 }
 
 // Guards against urgent requests that are served worse than others when the
