Count the news of other instances against an outage of the store

Twelve readers got their first own answer at 25.11 s, with the removal of a server that had left at 25.107 s. They took the store as away until then, so the removal as a lapse, and kept the server for 2.3 s, longer than the 2 s of the rule. A reader now counts an outage from its last news, whoever had it. The new test failed first.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -104,6 +104,15 @@
     return !same;
 }
 
+void published::rise_to(std::uint64_t revision, core::time_point now)
+{
+    if (revision > this->at)
+    {
+        this->at = revision;
+        this->risen = now;
+    }
+}
+
 bool published::drop(const std::string& key,
                      std::uint64_t revision,
                      core::removal how,
@@ -163,7 +172,7 @@
     {
         this->known_from = revision;
     }
-    this->at = std::max(this->at, revision);
+    this->rise_to(revision, now);
     if (news)
     {
         this->changed();
@@ -181,7 +190,7 @@
                     ? this->drop(item.key, item.revision, item.how, now)
                     : this->take(item, now);
     }
-    this->at = std::max(this->at, revision);
+    this->rise_to(revision, now);
     if (news)
     {
         this->changed();
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -77,6 +77,12 @@
         return this->at;
     }
 
+    /// When the revision rose last, by the source or by another instance.
+    core::time_point risen_at() const noexcept
+    {
+        return this->risen;
+    }
+
     /// Null before the first valid document.
     const std::shared_ptr<const core::document>& document() const noexcept
     {
@@ -107,6 +113,7 @@
         core::removal how = core::removal::certain;
     };
 
+    void rise_to(std::uint64_t revision, core::time_point now);
     bool take(const published_item& item, core::time_point now);
     bool drop(const std::string& key,
               std::uint64_t revision,
@@ -122,6 +129,7 @@
     std::vector<removed_item> removals;           ///< oldest first
     std::uint64_t known_from = 0; ///< removals since this revision are kept
     std::uint64_t at = 0;
+    core::time_point risen{};
     std::shared_ptr<const core::document> current;
     core::server_registry registry;
 };
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -226,6 +226,38 @@
     EXPECT_EQ(this->usable(), 0U);
 }
 
+// Guards against work for a server that has left, told by a reader that the
+// store answers late after an outage: others have had its news in between, so
+// what is removed now has not lapsed.
+TEST_F(a_reader_of_the_store, takes_a_removal_as_certain_when_others_had_news)
+{
+    this->source.put("servers/i-1", server_text("ready"));
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable() == 1;
+        }));
+    standin::store_faults faults;
+    faults.away = true;
+    this->source.set_faults(faults);
+    this->io.run_for(2500ms);
+    this->io.restart();
+    this->source.put("servers/i-2", server_text("draining"));
+    this->known.take_changes(
+        {{"servers/i-2", server_text("draining"), this->known.revision() + 1}},
+        this->known.revision() + 1, core::boot_clock::now());
+    this->source.remove("servers/i-1");
+    this->source.set_faults({});
+    const std::uint64_t before = this->known.revision();
+    ASSERT_TRUE(this->run_until(
+        [this, before]
+        {
+            return this->known.revision() > before;
+        }));
+    EXPECT_EQ(this->usable(), 0U);
+}
+
 // Guards against work for a server that left a while after an outage: only what
 // is missing at the store's return may have lapsed.
 TEST_F(a_reader_of_the_store, takes_a_removal_as_certain_soon_after_an_outage)
