--- a/bench/load_model.cpp
+++ b/bench/load_model.cpp
@@ -310,8 +310,9 @@
         for (std::size_t server = 0; server < made_service.announced.size();
              ++server)
         {
+            const std::size_t first = home * kind.servers / count;
             const std::size_t from_first =
-                (server + kind.servers - home % kind.servers) % kind.servers;
+                (server + kind.servers - first) % kind.servers;
             const bool mine = this->chosen.decided_by != placing::share ||
                               from_first < share_servers;
             if (mine)
