Accept large answers, survive odd entries and messages, end answers without end

Cause: (1) routes of the kind download made the adapter reject the whole configuration, so that Tuart Ridge's fleet served nobody. (2) nlohmann/json's CBOR parser throws for an array that claims more elements than can exist, even with exceptions off: one datagram of nine bytes ended a fleet instance, nine bytes of an unproven peer ended an entry instance. (3) An entry of a server with a duration 'nanms', an address that is no IPv4 address or a start time in the far future was used; with the last, the true announcement was ignored for good. (4) An answer without a stated length was passed on without end. Ruled out: deep nesting does not end the process (the parser keeps its own stack), but costs memory for each level; ports out of range were refused.

Change: kinds are decoded once; an unknown kind counts as not repeatable and is logged with route, member, value and what is accepted. An answer of unknown length ends at the deadline (10 s after it for medlard); at most 4 MiB of an answer to another request are read.

The check that an odd kind refuses the whole configuration is replaced: a kind of another type still does, an unknown name is accepted as not repeatable and reported.

--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -298,15 +298,16 @@
 {
     const std::error_code invalid =
         core::make_error_code(core::result_code::peer_message_invalid);
-    const json elements =
-        json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!elements.is_array() || elements.empty())
-    {
-        return invalid;
-    }
-    // nlohmann::json reports missing elements and wrong types by exceptions.
+    // nlohmann::json reports missing elements and wrong types by exceptions. The
+    // parser throws too, for a claim of more elements than can exist.
     try
     {
+        const json elements =
+            json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (!elements.is_array() || elements.empty())
+        {
+            return invalid;
+        }
         return decode(elements);
     }
     catch (const std::exception&)
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -450,6 +450,11 @@
                 gateway_counts.servers.connections_reused);
     add_counter("source_calls_total", source_counts.calls);
     add_counter("source_calls_failed_total", source_counts.failed_calls);
+    const published_counters& published_counts =
+        this->published_data.counters();
+    add_counter("published_items_unreadable_total",
+                published_counts.items_unreadable);
+    add_counter("document_problems_total", published_counts.document_problems);
     return text;
 }
 
--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -36,6 +36,10 @@
     bool forward_request_id = false; ///< forwards the caller's request id
     /// An answer without a framing header ends where its connection ends.
     bool answers_until_close = false;
+    /// Time after the deadline for which an answer of unknown length may go on.
+    /// Without such a limit, a server that sends without end would hold the
+    /// request until the caller leaves.
+    std::chrono::milliseconds unsized_answer_overtime{10000};
 };
 
 /// A request whose header has passed all checks. Only the digest in `facts` is
--- a/medlarbarrow/net/peer_auth.cpp
+++ b/medlarbarrow/net/peer_auth.cpp
@@ -71,7 +71,15 @@
 /// Parses CBOR. The result is a discarded value if the bytes are invalid.
 json parse(std::span<const std::uint8_t> bytes)
 {
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    // The parser throws for a claim of more elements than can exist.
+    try
+    {
+        return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    }
+    catch (const json::exception&)
+    {
+        return {json::value_t::discarded};
+    }
 }
 
 /// Appends eight bytes in little-endian order.
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -25,8 +25,10 @@
 
 // While an instance runs, document versions only increase: an older document
 // never replaces the one in force.
-void published::apply_document(std::shared_ptr<const core::document> candidate)
+void published::apply_document(parsed_document parsed)
 {
+    const std::shared_ptr<const core::document> candidate =
+        std::move(parsed.document);
     if (this->current_document &&
         candidate->version <= this->current_document->version)
     {
@@ -46,7 +48,17 @@
                  this->current_document ? this->current_document->version : 0),
          log::kv("routes", candidate->routes.size()),
          log::kv("accounts", candidate->accounts.size())});
-    this->current_document = std::move(candidate);
+    this->current_document = candidate;
+    this->counts.document_problems += parsed.problems.size();
+    for (const item_problem& problem : parsed.problems)
+    {
+        log::write(log::level::warning, "document_problem",
+                   {log::kv("version", candidate->version),
+                    log::kv("part", problem.part),
+                    log::kv("member", problem.member),
+                    log::kv("value", problem.value),
+                    log::kv("accepted", problem.accepted)});
+    }
 }
 
 // Parses an item and applies its document or server. A server that the item
@@ -54,14 +66,14 @@
 void published::apply_item(const published_item& item, core::time_point now)
 {
     parsed_item meaning = this->read_item(item, now);
-    if (auto* document =
-            std::get_if<std::shared_ptr<const core::document>>(&meaning))
+    if (auto* document = std::get_if<parsed_document>(&meaning))
     {
         this->apply_document(std::move(*document));
         return;
     }
     if (const auto* unreadable = std::get_if<unreadable_item>(&meaning))
     {
+        ++this->counts.items_unreadable;
         log::write(log::level::warning, "item_unreadable",
                    {log::kv("key", item.key),
                     log::kv("revision", item.revision),
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -39,7 +39,23 @@
     std::string reason;
 };
 
-using parsed_item = std::variant<std::shared_ptr<const core::document>,
+/// A value of a document that this instance does not know and replaces.
+struct item_problem
+{
+    std::string part; ///< of the document, for example a route
+    std::string member;
+    std::string value;
+    std::string accepted; ///< what is accepted, and what holds instead
+};
+
+/// A document that can be used, with the values that were replaced in it.
+struct parsed_document
+{
+    std::shared_ptr<const core::document> document;
+    std::vector<item_problem> problems;
+};
+
+using parsed_item = std::variant<parsed_document,
                                  core::announced_server,
                                  other_item,
                                  unreadable_item>;
@@ -49,6 +65,12 @@
 using item_reader =
     std::function<parsed_item(const published_item&, core::time_point now)>;
 
+struct published_counters
+{
+    std::uint64_t items_unreadable = 0;
+    std::uint64_t document_problems = 0;
+};
+
 /// Applies listings and changes from the source and from other instances, and
 /// calls `on_change` after each that changed an item.
 class published
@@ -96,6 +118,12 @@
         return this->current_document;
     }
 
+    /// Counts of what could not be read, for the metrics.
+    const published_counters& counters() const noexcept
+    {
+        return this->counts;
+    }
+
     core::server_registry& servers() noexcept
     {
         return this->registry;
@@ -127,7 +155,7 @@
                 core::removal_kind removal,
                 core::time_point now);
     void apply_item(const published_item& item, core::time_point now);
-    void apply_document(std::shared_ptr<const core::document> candidate);
+    void apply_document(parsed_document parsed);
 
     item_reader read_item;
     std::function<void()> notify_change;
@@ -139,6 +167,7 @@
     core::time_point raised_at{};
     std::shared_ptr<const core::document> current_document;
     core::server_registry registry;
+    published_counters counts;
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -44,6 +44,10 @@
 /// skipped before the expected answer.
 constexpr unsigned max_skipped_answers = 8;
 
+/// A longer body of an answer to another request is not read to its end: the
+/// connection is closed instead.
+constexpr std::size_t max_discarded_bytes = 4U << 20U;
+
 /// Part of the keep-alive timeout stated by a server after which its idle
 /// connection is closed.
 constexpr double keep_alive_share = 0.7;
@@ -253,18 +257,31 @@
         this->watchdog.cancel();
     }
 
-    /// Limits the server's silence inside an answer that has started. This is
-    /// a separate function because g++ 12 misplaces the frame of a coroutine
-    /// in which std::max() takes a temporary.
+    /// Limits the server's silence inside an answer that has started, and the
+    /// duration of one whose length is unknown. This is a separate function
+    /// because g++ 12 misplaces the frame of a coroutine in which std::max()
+    /// takes a temporary.
     static void arm_for_part(const std::shared_ptr<exchange>& current,
-                             core::time_point deadline)
+                             core::time_point deadline,
+                             core::duration unsized_overtime)
     {
-        if (current->forwarded)
+        if (!current->forwarded)
+        {
+            return;
+        }
+        const core::time_point now = core::boot_clock::now();
+        core::time_point part_deadline = std::max(deadline, now + max_silence);
+        if (!current->head.length)
+        {
+            part_deadline =
+                std::min(part_deadline, deadline + unsized_overtime);
+        }
+        if (now >= part_deadline)
         {
-            const core::time_point silence_deadline =
-                core::boot_clock::now() + max_silence;
-            arm(current, std::max(deadline, silence_deadline));
+            current->stop(stop_cause::timed_out);
+            return;
         }
+        arm(current, part_deadline);
     }
 
     /// Stops `current` at `deadline` unless the watchdog is armed again or
@@ -625,10 +642,13 @@
     }
     current.parser->eager(true);
     current.part_buffer.resize(this->part_bytes);
+    std::size_t discarded_bytes = 0;
     bool proceed = true;
     while (proceed && !current.parser->is_done())
     {
         proceed = co_await this->read_part(current);
+        discarded_bytes += current.filled;
+        proceed = proceed && discarded_bytes <= max_discarded_bytes;
     }
     current.filled = 0;
     co_return proceed;
@@ -795,7 +815,8 @@
     current->part_buffer.resize(this->part_bytes);
     while (proceed)
     {
-        exchange::arm_for_part(current, step.deadline);
+        exchange::arm_for_part(current, step.deadline,
+                               this->names.unsized_answer_overtime);
         proceed = co_await this->read_part(*current);
         if (!proceed)
         {
--- a/standin/scripted_server.cpp
+++ b/standin/scripted_server.cpp
@@ -239,6 +239,66 @@
         return false;
     case response_kind::silence_then_end:
         return false;
+    default:
+        return this->answer_without_end(socket, manner, id);
+    }
+}
+
+// Sends a beginning, then the same text again and again until the client closes
+// the connection. Returns false, as the connection has ended.
+bool scripted_server::answer_without_end(tcp::socket& socket,
+                                         response_kind manner,
+                                         const std::string& id)
+{
+    constexpr std::string_view chunked_header =
+        "Transfer-Encoding: chunked\r\n";
+    constexpr std::size_t repeated_bytes = 4096;
+    const std::string filler(repeated_bytes, 'a');
+    const std::string chunk =
+        fmt::format("{:x}\r\n{}\r\n", filler.size(), filler);
+    const std::string chunked_head =
+        this->response_head(id, 200, chunked_header);
+    std::string beginning;
+    std::string repeated = filler;
+    switch (manner)
+    {
+    case response_kind::endless_line:
+        beginning = "HTTP/1.1 200 ";
+        break;
+    case response_kind::endless_fields:
+        beginning = "HTTP/1.1 200 Status\r\n";
+        repeated = "A: b\r\n";
+        break;
+    case response_kind::endless_interim:
+        repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+        break;
+    case response_kind::endless_strays:
+        repeated = this->complete_response(std::string(stray_id), 200);
+        break;
+    case response_kind::endless_stray_body:
+        beginning =
+            this->response_head(std::string(stray_id), 200, chunked_header);
+        repeated = chunk;
+        break;
+    case response_kind::endless_chunks:
+        beginning = chunked_head;
+        repeated = chunk;
+        break;
+    case response_kind::endless_chunk_line:
+        beginning = chunked_head + "5;";
+        break;
+    case response_kind::endless_trailer:
+        beginning = chunked_head + chunk + "0\r\n";
+        repeated = "A: b\r\n";
+        break;
+    default:
+        beginning = this->response_head(id, 200, "Connection: close\r\n");
+        break;
+    }
+    bool open = write(socket, beginning);
+    while (open)
+    {
+        open = write(socket, repeated);
     }
     return false;
 }
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -35,7 +35,17 @@
     two_lengths,       ///< two different Content-Length headers
     noise,             ///< bytes that are not an HTTP response
     silence_then_end,  ///< closes without a response
-    last = silence_then_end
+    last = silence_then_end, ///< of those that end by themselves
+    // The others send bytes until the client closes the connection.
+    endless_line,       ///< a first line without an end
+    endless_fields,     ///< header fields without an end
+    endless_interim,    ///< interim responses
+    endless_strays,     ///< responses to other requests
+    endless_stray_body, ///< a response to another request, in chunks
+    endless_chunks,     ///< chunks without a last one
+    endless_chunk_line, ///< the line before a chunk
+    endless_trailer,    ///< fields after the last chunk
+    endless_until_close ///< a body without a length
 };
 
 /// Names of the headers that the server reads and writes.
@@ -70,6 +80,9 @@
     bool answer(boost::asio::ip::tcp::socket& socket,
                 response_kind manner,
                 const std::string& id);
+    bool answer_without_end(boost::asio::ip::tcp::socket& socket,
+                            response_kind manner,
+                            const std::string& id);
     std::string response_head(const std::string& id,
                               unsigned status,
                               std::string_view framing) const;
--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -19,6 +19,9 @@
 
 namespace asio = boost::asio;
 
+/// Far beyond the deadline of every attempt.
+constexpr std::chrono::seconds test_timeout{60};
+
 /// Sends requests one after the other over persistent connections.
 class sender
 {
@@ -35,9 +38,10 @@
         this->request.lines = "Host: reef.example\r\n";
     }
 
-    core::attempt_result send(const std::string& id)
+    core::attempt_result
+    send(const std::string& id,
+         std::chrono::milliseconds deadline = std::chrono::seconds(20))
     {
-        constexpr std::chrono::seconds deadline{20};
         this->request.id = id;
         this->step.deadline = core::boot_clock::now() + deadline;
         this->caller = std::make_shared<recording_caller>();
@@ -54,6 +58,13 @@
             },
             asio::detached);
         this->io.restart();
+        const auto give_up = std::chrono::steady_clock::now() + test_timeout;
+        while (!ended && std::chrono::steady_clock::now() < give_up &&
+               this->io.run_one_for(test_timeout) > 0)
+        {
+        }
+        EXPECT_TRUE(ended) << "the attempt goes on without end";
+        this->caller->fails_writes = !ended;
         while (!ended && this->io.run_one() > 0)
         {
         }
@@ -156,3 +167,30 @@
         EXPECT_EQ(client.caller->body, standin::scripted_server::body_of(id));
     }
 }
+
+// Guards against bytes without end from a server: a request that never ends, a
+// caller that takes them for a complete answer, and an instance that stops
+// serving while it reads them.
+TEST(answers_without_end, end_soon_after_the_deadline)
+{
+    constexpr std::chrono::milliseconds deadline{500};
+    constexpr std::chrono::seconds max_duration{5};
+    for (int number = static_cast<int>(response_kind::endless_line);
+         number <= static_cast<int>(response_kind::endless_until_close);
+         ++number)
+    {
+        standin::scripted_server server(names());
+        server.play({static_cast<response_kind>(number)});
+        sender client(server.port());
+        const auto start = std::chrono::steady_clock::now();
+        const core::attempt_result result = client.send("request-1", deadline);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, max_duration)
+            << "manner " << number;
+        EXPECT_NE(result.end, attempt_end::answered) << "manner " << number;
+        EXPECT_NE(result.end, attempt_end::not_sent) << "manner " << number;
+        EXPECT_FALSE(client.caller->complete) << "manner " << number;
+        // The server is sound again afterwards.
+        EXPECT_EQ(client.send("request-2").end, attempt_end::answered)
+            << "manner " << number;
+    }
+}
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <limits>
 #include <medlarbarrow/net/codec.hpp>
+#include <medlarbarrow/net/peer_auth.hpp>
 #include <rapidcheck.h>
 
 using namespace medlarbarrow;
@@ -212,3 +213,14 @@
                   std::vector<std::uint8_t>(net::max_message_bytes + 1, 0x81)),
               result_code::peer_message_too_large);
 }
+
+// Guards against a peer that has not proved its identity yet and ends the
+// process with an array that claims more elements than can exist.
+TEST(damaged_handshakes, may_claim_any_number_of_elements)
+{
+    const std::vector<std::uint8_t> claim{0x9b, 0xff, 0xff, 0xff, 0xff,
+                                          0xff, 0xff, 0xff, 0xfe};
+    EXPECT_FALSE(net::decode_party(claim));
+    EXPECT_FALSE(net::decode_answer(claim));
+    EXPECT_FALSE(net::decode_proof(claim));
+}
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -90,3 +90,23 @@
               decoded.error() == core::make_error_code(
                                      core::result_code::peer_message_invalid));
 }
+
+// Guards against a datagram of a few bytes that ends the process: the parser
+// throws for an array or object that claims more elements than can exist.
+TEST(damaged_datagrams, may_claim_any_number_of_elements)
+{
+    for (const std::uint8_t kind : {0x9b, 0xbb})
+    {
+        for (const std::uint8_t last : {0xff, 0xfe, 0x00})
+        {
+            const std::vector<std::uint8_t> claim{kind, 0xff, 0xff, 0xff, 0xff,
+                                                  0xff, 0xff, 0xff, last};
+            EXPECT_FALSE(net::decode_message(claim));
+            std::vector<std::uint8_t> nested{0x81};
+            nested.insert(nested.end(), claim.begin(), claim.end());
+            EXPECT_FALSE(net::decode_message(nested));
+        }
+    }
+    const std::vector<std::uint8_t> deep(net::max_datagram_bytes, 0x81);
+    EXPECT_FALSE(net::decode_message(deep));
+}
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -50,9 +50,8 @@
 std::shared_ptr<const core::document> document_of(const json& value)
 {
     const auto meaning = read("op/config", value.dump());
-    const auto* document =
-        std::get_if<std::shared_ptr<const core::document>>(&meaning);
-    return document == nullptr ? nullptr : *document;
+    const auto* document = std::get_if<net::parsed_document>(&meaning);
+    return document == nullptr ? nullptr : document->document;
 }
 
 } // namespace
@@ -111,7 +110,7 @@
     EXPECT_TRUE(is_refused(with_cell(4, "5 minutes")));
     EXPECT_TRUE(is_refused(with_cell(8, nullptr)));
     EXPECT_TRUE(is_refused(with_cell(8, 0)));
-    EXPECT_TRUE(is_refused(with_cell(3, "odd")));
+    EXPECT_TRUE(is_refused(with_cell(3, 7)));
     json shared_key = config(1);
     shared_key["tenants"]["rows"].push_back({"other", {"key-1"}, 1, 5, 5});
     EXPECT_TRUE(is_refused(shared_key));
@@ -123,6 +122,32 @@
     EXPECT_TRUE(is_refused(invalid_version));
 }
 
+// Guards against a fleet that serves nobody because one route has a kind that
+// it does not know, against a repeat of such a request, and against a kind that
+// is read as another one.
+TEST(a_configuration, is_used_with_any_kind_of_route)
+{
+    const auto read_with_kind = [](const std::string& kind)
+    {
+        json changed = config(1);
+        changed["routes"]["rows"][1][3] = kind;
+        return read("op/config", changed.dump());
+    };
+    const auto download = read_with_kind("download");
+    const auto* known = std::get_if<net::parsed_document>(&download);
+    ASSERT_NE(known, nullptr);
+    EXPECT_TRUE(known->document->routes[1].repeatable);
+    EXPECT_TRUE(known->problems.empty());
+    const auto odd = read_with_kind("odd");
+    const auto* unknown = std::get_if<net::parsed_document>(&odd);
+    ASSERT_NE(unknown, nullptr);
+    EXPECT_FALSE(unknown->document->routes[1].repeatable);
+    ASSERT_EQ(unknown->problems.size(), 1U);
+    EXPECT_EQ(unknown->problems[0].part, "route r2");
+    EXPECT_EQ(unknown->problems[0].member, "kind");
+    EXPECT_EQ(unknown->problems[0].value, "odd");
+}
+
 // Guards against a field of an announcement that is read into the wrong member,
 // and against unknown fields that are treated as faults.
 TEST(an_announcement, is_read_member_by_member)
@@ -172,7 +197,8 @@
 {
     EXPECT_EQ(platform::parse_duration("1500ms").value(), 1500ms);
     EXPECT_EQ(platform::parse_duration("2.5s").value(), 2500ms);
-    for (const char* text : {"", "5", "ms", "5m", "-1s", "1e30s", "5 ms"})
+    for (const char* text :
+         {"", "5", "ms", "5m", "-1s", "1e30s", "5 ms", "nanms", "infs"})
     {
         EXPECT_FALSE(platform::parse_duration(text)) << text;
     }
@@ -214,6 +240,108 @@
     net::published lagging{platform::read_item, [] {}};
 };
 
+namespace
+{
+
+/// Texts that another program may have written as the entry of a server.
+std::vector<std::string> odd_entries()
+{
+    std::vector<std::string> entries{"", "[]", "null", "7", "\"text\"", "{}"};
+    for (const std::size_t depth : {50, 100'000, 1'000'000})
+    {
+        entries.push_back(std::string(depth, '['));
+        entries.push_back(std::string(depth, '[') + std::string(depth, ']'));
+        std::string objects;
+        for (std::size_t level = 0; level < depth / 10; ++level)
+        {
+            objects += R"({"info":)";
+        }
+        entries.push_back(objects);
+    }
+    const auto with = [&entries](const char* path, const json& value)
+    {
+        json changed = server();
+        changed[json::json_pointer(path)] = value;
+        entries.push_back(changed.dump());
+    };
+    for (const char* address :
+         {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:", ":80",
+          "10.0.0.9", "10.0.0.9:99999999999999999999", "10.0.0.999:80",
+          "no-address:80", "10.0.0.9:80 ", "::1:80"})
+    {
+        with("/address", address);
+    }
+    for (const char* path : {"/info/slots", "/status/sequence", "/born"})
+    {
+        with(path, -1);
+        with(path, 1e300);
+        with(path, 0.5);
+    }
+    with("/info/slots", std::numeric_limits<std::uint64_t>::max());
+    with("/born", std::numeric_limits<std::uint64_t>::max());
+    for (const char* duration : {"nanms", "infs", "1e300s", "-1ms", "1e13ms"})
+    {
+        with("/status/warmupLeft", duration);
+    }
+    std::string huge = server().dump();
+    huge.replace(huge.find("\"slots\":3"), 9, "\"slots\":1e999");
+    entries.push_back(huge);
+    huge.replace(huge.find("1e999"), 5, std::string(100'000, '9'));
+    entries.push_back(huge);
+    return entries;
+}
+
+} // namespace
+
+// Guards against an entry of another writer that ends the process, hides the
+// other servers or is used as a server.
+TEST_F(published_items, hold_the_other_servers_beside_any_odd_entry)
+{
+    std::uint64_t revision = 1;
+    this->current.apply_changes(
+        {this->listed_item("servers/good", server(), revision)}, revision,
+        start);
+    for (const std::string& entry : odd_entries())
+    {
+        ++revision;
+        this->current.apply_changes(
+            {{"servers/odd", entry, revision, false, {}}}, revision, start);
+        const std::string shown = entry.substr(0, 100);
+        EXPECT_EQ(this->current.servers().find("odd"), nullptr) << shown;
+        EXPECT_NE(this->current.servers().find("good"), nullptr) << shown;
+        // A peer gets the entry as it is, and follows the list too.
+        EXPECT_FALSE(this->lagging.apply_text(
+            this->current.text_since(this->lagging.revision()), start))
+            << shown;
+        EXPECT_EQ(this->lagging.revision(), revision) << shown;
+    }
+    EXPECT_EQ(this->current.counters().items_unreadable, odd_entries().size());
+    // The server itself announces itself again over the odd entry.
+    ++revision;
+    this->current.apply_changes(
+        {this->listed_item("servers/odd", server(), revision)}, revision,
+        start);
+    EXPECT_NE(this->current.servers().find("odd"), nullptr);
+}
+
+// Guards against any change of one place of an entry that ends the process or
+// names a server that cannot be called.
+RC_GTEST_PROP(an_entry_of_another_writer, names_a_usable_server_or_none, ())
+{
+    std::string text = server().dump();
+    const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+    const auto replacement = *rc::gen::arbitrary<std::string>();
+    const auto removed = *rc::gen::inRange<std::size_t>(0, 12);
+    text.replace(position, removed, replacement);
+    const auto meaning = read("servers/i-7", text);
+    if (const auto* named = std::get_if<core::announced_server>(&meaning))
+    {
+        RC_ASSERT(named->server.port != 0);
+        RC_ASSERT(named->server.slots > 0U);
+        RC_ASSERT(named->warmed_up_at >= start);
+    }
+}
+
 // Guards against an older configuration that arrives with a later revision and
 // replaces the newer one.
 TEST_F(published_items, never_go_back_to_an_older_document)
--- a/tests/recording_caller.hpp
+++ b/tests/recording_caller.hpp
@@ -32,7 +32,10 @@
 
     asio::awaitable<bool> write_part(std::string_view part, bool last) override
     {
-        this->body += part;
+        if (this->body.size() < max_recorded_bytes)
+        {
+            this->body += part;
+        }
         this->complete = last;
         co_return !this->fails_writes;
     }
@@ -51,6 +54,9 @@
         }
     }
 
+    /// Later parts of an answer are not kept.
+    static constexpr std::size_t max_recorded_bytes = 1U << 20U;
+
     unsigned status = 0;
     std::string body;
     bool complete = false;
