--- a/bench/fleet_slopes_main.cpp
+++ b/bench/fleet_slopes_main.cpp
@@ -136,13 +136,14 @@
     print_size("beacon without changes",
                core::source_update{5000, 200ms, 5000, ""});
     print_size("place_call",
-               core::place_call{"specbook", make_place_request(100'000)});
+               core::place_call{{"specbook", 0}, make_place_request(100'000)});
     print_size(
         "place_reply",
         core::place_reply{100'000, core::placed{"i-0123456789", 200ms, 500ms}});
-    print_size("done_call",
-               core::done_call{"specbook", make_place_request(100'000).grant,
-                               core::send_outcome::succeeded, 200ms});
+    print_size("done_call", core::done_call{{"specbook", 0},
+                                            make_place_request(100'000).grant,
+                                            core::send_outcome::succeeded,
+                                            200ms});
     print_size("done_reply", core::done_reply{100'000});
     print_size("admit_call", core::admit_call{100'000, "account-17"});
     print_size("admit_reply", core::admit_reply{100'000, true, {true, 0ms}});
--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -5,6 +5,7 @@
 #include <medlarbarrow/core/membership.hpp>
 #include <medlarbarrow/core/placement.hpp>
 #include <medlarbarrow/core/quota.hpp>
+#include <medlarbarrow/core/shards.hpp>
 #include <variant>
 
 namespace medlarbarrow::core
@@ -35,12 +36,12 @@
     quota_answer answer;
 };
 
-/// Asks the owner of a service for a server. The sender sets the instance
+/// Asks the owner of a shard for a server. The sender sets the instance
 /// number of the grant to its incarnation; the receiver adds the sender's
 /// address.
 struct place_call
 {
-    std::string service;
+    shard_id shard;
     place_request request;
 };
 
@@ -49,13 +50,15 @@
 {
     std::uint64_t number = 0; ///< of the grant
     place_answer answer;
+    std::uint32_t shard = 0; ///< number of the shard that was asked
+    double load = 0.0;       ///< of the shard, see placement::load()
 };
 
 /// Reports to the owner how a granted send ended. `took` is the latency, or
 /// zero if there was no answer.
 struct done_call
 {
-    std::string service;
+    shard_id shard;
     grant_id grant;
     send_outcome outcome = send_outcome::cancelled;
     duration latency{};
@@ -65,6 +68,15 @@
 struct done_reply
 {
     std::uint64_t number = 0; ///< of the grant
+    std::uint32_t shard = 0;  ///< number of the shard
+};
+
+/// Tells the owner of a shard that a request has crashed a server of another
+/// shard of the service.
+struct shard_crash_report
+{
+    shard_id shard; ///< of the receiver
+    crash_event crash;
 };
 
 /// Asks an instance that reads the source to send source updates.
@@ -91,6 +103,7 @@
                                    place_call,
                                    place_reply,
                                    done_call,
-                                   done_reply>;
+                                   done_reply,
+                                   shard_crash_report>;
 
 } // namespace medlarbarrow::core
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <medlarbarrow/core/placement.hpp>
+#include <tuple>
 
 namespace medlarbarrow::core
 {
@@ -114,6 +116,11 @@
 {
 }
 
+void placement::set_limits(const retry_limits& new_limits)
+{
+    this->limits = new_limits;
+}
+
 // Keeps the state of servers that remain. A server that has been restarted
 // begins with a new state.
 void placement::set_servers(const std::vector<const announced_server*>& usable,
@@ -284,43 +291,95 @@
     return cost;
 }
 
+bool placement::is_eligible(const server_state& server,
+                            bool service_fails,
+                            bool waited_long) const
+{
+    return !server.suspected || service_fails || waited_long;
+}
+
+// Requests that the server may run at once. A request that has waited long also
+// takes a place beyond the slots of a trusted server.
+std::uint32_t placement::request_limit(const server_state& server,
+                                       bool waited_long,
+                                       time_point now) const
+{
+    return this->capacity_of(server, now) +
+           (waited_long && !server.suspected ? long_wait_extra_slots : 0);
+}
+
+void placement::count_free_places(overview& servers_now, time_point now) const
+{
+    servers_now.free_places = 0;
+    servers_now.free_places_after_long_wait = 0;
+    for (const auto& [name, server] : this->servers)
+    {
+        for (const bool waited_long : {false, true})
+        {
+            const std::uint32_t limit =
+                this->request_limit(server, waited_long, now);
+            if (server.running < limit &&
+                this->is_eligible(server, servers_now.service_fails,
+                                  waited_long))
+            {
+                (waited_long ? servers_now.free_places_after_long_wait
+                             : servers_now.free_places) +=
+                    limit - server.running;
+            }
+        }
+    }
+}
+
+placement::overview placement::make_overview(time_point now)
+{
+    std::size_t trusted_count = 0;
+    for (auto& [name, server] : this->servers)
+    {
+        this->decay_suspicion(server, now);
+        trusted_count += server.suspected ? 0 : 1;
+    }
+    overview servers_now;
+    servers_now.service_fails =
+        static_cast<double>(trusted_count) <
+        min_trusted_share * static_cast<double>(this->servers.size());
+    servers_now.slowness = this->slowness_by_server(now);
+    this->count_free_places(servers_now, now);
+    return servers_now;
+}
+
 // Returns the server of lowest cost that has a free slot, or nullptr. A request
 // that has waited long also takes a suspected server, or a place beyond the
 // slots of a trusted one. A small random cost spreads requests over servers
 // that are otherwise equal.
 placement::server_state* placement::choose_server(const place_request& request,
                                                   bool waited_long,
+                                                  const overview& servers_now,
                                                   time_point now)
 {
-    std::size_t trusted_count = 0;
-    for (auto& [name, server] : this->servers)
+    const std::uint32_t free_places =
+        waited_long ? servers_now.free_places_after_long_wait
+                    : servers_now.free_places;
+    if (free_places == 0)
     {
-        this->decay_suspicion(server, now);
-        trusted_count += server.suspected ? 0 : 1;
+        return nullptr;
     }
-    const bool service_fails =
-        static_cast<double>(trusted_count) <
-        min_trusted_share * static_cast<double>(this->servers.size());
     std::uniform_real_distribution<double> noise(0.0, max_random_cost);
-    const auto slowness = this->slowness_by_server(now);
     server_state* best = nullptr;
     double lowest_cost = 0.0;
     for (auto& [name, server] : this->servers)
     {
-        const std::uint32_t capacity = this->capacity_of(server, now);
-        const std::uint32_t request_limit =
-            capacity +
-            (waited_long && !server.suspected ? long_wait_extra_slots : 0);
-        if (server.running >= request_limit ||
-            contains_name(request.excluded_servers, name) ||
-            (server.suspected && !service_fails && !waited_long))
+        if (server.running >= this->request_limit(server, waited_long, now) ||
+            !this->is_eligible(server, servers_now.service_fails,
+                               waited_long) ||
+            contains_name(request.excluded_servers, name))
         {
             continue;
         }
-        const auto slow = slowness.find(name);
+        const auto slow = servers_now.slowness.find(name);
         const double cost =
-            this->cost_of(server, request,
-                          slow == slowness.end() ? 0.0 : slow->second, now) +
+            this->cost_of(
+                server, request,
+                slow == servers_now.slowness.end() ? 0.0 : slow->second, now) +
             noise(this->random);
         if (best == nullptr || cost < lowest_cost)
         {
@@ -497,7 +556,9 @@
     // Waiting requests go first.
     if (this->queue.empty())
     {
-        if (server_state* server = this->choose_server(request, false, now))
+        const overview servers_now = this->make_overview(now);
+        if (server_state* server =
+                this->choose_server(request, false, servers_now, now))
         {
             return this->grant(request, *server, now);
         }
@@ -515,9 +576,9 @@
 
 // Adds the server to the crash record of the request's digest. Old records are
 // dropped once there are many.
-void placement::record_crash(const active_grant& ended, time_point now)
+void placement::record_crash(const crash_event& crash, time_point now)
 {
-    if (ended.request.content_digest == 0)
+    if (crash.content_digest == 0)
     {
         return;
     }
@@ -530,14 +591,19 @@
                                  crash_record_lifetime;
                       });
     }
-    crash_record& record = this->crashes[ended.request.content_digest];
+    crash_record& record = this->crashes[crash.content_digest];
     record.last_crash = now;
-    if (!contains_name(record.servers, ended.server))
+    if (!contains_name(record.servers, crash.server))
     {
-        record.servers.push_back(ended.server);
+        record.servers.push_back(crash.server);
     }
 }
 
+std::vector<crash_event> placement::take_crashes()
+{
+    return std::exchange(this->new_crashes, {});
+}
+
 void placement::on_send_ended(const grant_id& id,
                               send_outcome outcome,
                               duration latency,
@@ -584,7 +650,9 @@
                               now);
         break;
     case send_outcome::connection_lost:
-        this->record_crash(ended, now);
+        this->new_crashes.push_back(
+            {ended.request.content_digest, ended.server});
+        this->record_crash(this->new_crashes.back(), now);
         this->raise_suspicion(ended.server, broke_off_suspicion,
                               "connection ended", now);
         break;
@@ -641,28 +709,38 @@
     }
 }
 
+// Requests that can no longer be answered within their objective go last.
+// Within each of the two groups the most urgent rank goes first, then the
+// earliest objective.
+void placement::sort_queue(time_point now)
+{
+    const auto misses_objective = [this, now](const queued_request& waiting)
+    {
+        return waiting.objective_at <
+               now + this->typical_duration(waiting.request);
+    };
+    const auto first_late = std::stable_partition(
+        this->queue.begin(), this->queue.end(), std::not_fn(misses_objective));
+    const auto is_more_urgent =
+        [](const queued_request& left, const queued_request& right)
+    {
+        return std::tie(left.request.rank, left.objective_at) <
+               std::tie(right.request.rank, right.objective_at);
+    };
+    std::stable_sort(this->queue.begin(), first_late, is_more_urgent);
+    std::stable_sort(first_late, this->queue.end(), is_more_urgent);
+}
+
 std::vector<deferred_answer> placement::tick(time_point now)
 {
     this->check_active_grants(now);
     std::vector<deferred_answer> answers;
-    // Requests that have missed their objective go last. Within each of the two
-    // groups the most urgent rank goes first, then the earliest objective.
-    std::stable_sort(
-        this->queue.begin(), this->queue.end(),
-        [now](const queued_request& left, const queued_request& right)
-        {
-            const bool left_missed = left.objective_at < now;
-            const bool right_missed = right.objective_at < now;
-            if (left_missed != right_missed)
-            {
-                return right_missed;
-            }
-            if (left.request.rank != right.request.rank)
-            {
-                return left.request.rank < right.request.rank;
-            }
-            return left.objective_at < right.objective_at;
-        });
+    if (this->queue.empty())
+    {
+        return answers;
+    }
+    this->sort_queue(now);
+    overview servers_now = this->make_overview(now);
     std::vector<queued_request> remaining;
     for (queued_request& waiting : this->queue)
     {
@@ -683,10 +761,11 @@
             continue;
         }
         if (server_state* server =
-                this->choose_server(request, waited_long, now))
+                this->choose_server(request, waited_long, servers_now, now))
         {
             answers.push_back(
                 {request.grant, this->grant(request, *server, now)});
+            this->count_free_places(servers_now, now);
             continue;
         }
         remaining.push_back(std::move(waiting));
@@ -695,6 +774,17 @@
     return answers;
 }
 
+double placement::load(time_point now) const
+{
+    double slots = 0.0;
+    for (const auto& [name, server] : this->servers)
+    {
+        slots += server.suspected ? 0.0 : this->capacity_of(server, now);
+    }
+    return static_cast<double>(this->running() + this->waiting()) /
+           std::max(slots, 1.0);
+}
+
 std::vector<placement_event> placement::take_events()
 {
     return std::exchange(this->events, {});
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -1,7 +1,8 @@
-/// Placement of the requests of one service by the instance that owns it:
-/// which server runs a request, in which order requests wait, and which are
-/// refused. The owner sees every running request of the service, so it detects
-/// a server that stops answering after a few requests of the whole fleet.
+/// Placement of the requests of one shard of a service by the instance that
+/// owns it: which server runs a request, in which order requests wait, and
+/// which are refused. The owner sees every running request of the shard, so it
+/// detects a server that stops answering after a few requests of the whole
+/// fleet.
 #pragma once
 
 #include <array>
@@ -104,7 +105,14 @@
     double suspicion = 0.0; ///< suspicion after the change
 };
 
-/// Grants the servers of one service to requests. Each request gets the server
+/// A request whose server ended the connection without an answer.
+struct crash_event
+{
+    std::uint64_t content_digest = 0;
+    std::string server;
+};
+
+/// Grants the servers of one shard to requests. Each request gets the server
 /// of lowest cost that has a free slot; without one it waits, ordered by rank
 /// and objective, or is refused if it could not finish in time. Failed and
 /// overdue sends raise the suspicion of a server. A suspected server gets only
@@ -115,7 +123,10 @@
 public:
     placement(retry_limits configured_limits, std::uint64_t seed);
 
-    /// Replaces the usable servers of the service.
+    /// Replaces the retry budget.
+    void set_limits(const retry_limits& new_limits);
+
+    /// Replaces the usable servers of the shard.
     void set_servers(const std::vector<const announced_server*>& usable,
                      time_point now);
 
@@ -138,6 +149,16 @@
 
     std::vector<placement_event> take_events();
 
+    /// Crashes recorded here since the last call. Owners of other shards of
+    /// the service get them, so that they count those of the whole fleet.
+    std::vector<crash_event> take_crashes();
+
+    /// Records a crash that another owner has seen.
+    void record_crash(const crash_event& crash, time_point now);
+
+    /// Running and waiting requests per slot of the trusted servers.
+    double load(time_point now) const;
+
     std::size_t waiting() const noexcept
     {
         return this->queue.size();
@@ -212,6 +233,23 @@
     void lower_suspicion(server_state& server, double factor, time_point now);
     duration typical_duration(const place_request& request) const;
     duration overdue_after(const place_request& request) const;
+    /// State of all servers at one time, for the choice of servers.
+    struct overview
+    {
+        bool service_fails = false; ///< most servers are suspected
+        std::map<std::string_view, double> slowness; ///< by server
+        std::uint32_t free_places = 0;
+        std::uint32_t free_places_after_long_wait = 0;
+    };
+
+    overview make_overview(time_point now);
+    void count_free_places(overview& servers, time_point now) const;
+    bool is_eligible(const server_state& server,
+                     bool service_fails,
+                     bool waited_long) const;
+    std::uint32_t request_limit(const server_state& server,
+                                bool waited_long,
+                                time_point now) const;
     std::map<std::string_view, double> slowness_by_server(time_point now) const;
     double cost_of(const server_state& server,
                    const place_request& request,
@@ -219,6 +257,7 @@
                    time_point now) const;
     server_state* choose_server(const place_request& request,
                                 bool waited_long,
+                                const overview& servers_now,
                                 time_point now);
     server_state* server_due_for_probe(const place_request& request,
                                        time_point now);
@@ -230,7 +269,7 @@
     second_counts& counts_at(time_point now);
     void check_active_grants(time_point now);
     bool is_crashing(std::uint64_t content) const;
-    void record_crash(const active_grant& ended, time_point now);
+    void sort_queue(time_point now);
 
     retry_limits limits;
     std::mt19937_64 random;
@@ -240,6 +279,7 @@
     std::unordered_map<std::uint32_t, work_time> work_times;
     std::deque<second_counts> counts_by_second; ///< newest last
     std::unordered_map<std::uint64_t, crash_record> crashes;
+    std::vector<crash_event> new_crashes;
     std::vector<placement_event> events;
 };
 
--- a/medlarbarrow/core/readers.cpp
+++ b/medlarbarrow/core/readers.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t min_readers = 3;
 /// One more reader for each this many live instances.
-constexpr std::size_t instances_per_reader = 24;
+constexpr std::size_t instances_per_reader = 96;
 
 /// Readers that send source updates to one instance, so that the
 /// failure of one has no effect.
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -6,6 +6,7 @@
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/place_calls.hpp>
 #include <medlarbarrow/net/service_owners.hpp>
 
 namespace medlarbarrow::net
@@ -23,22 +24,12 @@
 /// calls to one owner.
 constexpr milliseconds call_timeout{60};
 constexpr unsigned max_calls_per_owner = 2;
-/// Owners that are tried for a place call before it is decided here.
-constexpr std::size_t max_owners_tried = 2;
-
-/// The call of a queued request is repeated in this period, because the late
-/// answer may be lost.
-constexpr milliseconds queued_call_period{300};
-
-constexpr milliseconds done_call_timeout{150};
-constexpr unsigned max_done_repeats = 4;
-
 constexpr milliseconds gossip_period{500};
 /// Gossip period while an instance knows no other one, and for join_duration
 /// after its start. If all processes were restarted, every instance is its own
 /// owner until it has heard of the others, and what they grant adds up.
 constexpr milliseconds join_period{100};
-constexpr std::chrono::seconds join_duration{1};
+constexpr std::chrono::seconds join_duration{2};
 /// For settle_duration after its start, an owner grants an account only this
 /// part of its burst, because other instances may not know this owner yet.
 constexpr std::chrono::seconds settle_duration{3};
@@ -71,20 +62,6 @@
 
 struct fleet::state
 {
-    /// A place request that waits for its answer.
-    struct place_call_state
-    {
-        std::string service;
-        core::place_request request;
-        place_handler handler;
-        core::time_point requested_at{};
-        std::vector<core::instance_address> owners;
-        std::size_t owner_index = 0; ///< index into owners
-        /// Calls to the current owner since its last answer.
-        unsigned unanswered_calls = 0;
-        std::unique_ptr<asio::steady_timer> timer;
-    };
-
     /// An admission that waits for the answer of the account's owner.
     struct admit_call_state
     {
@@ -95,22 +72,6 @@
         std::unique_ptr<asio::steady_timer> timer;
     };
 
-    /// A grant whose send has not ended yet.
-    struct open_grant
-    {
-        std::string service;
-        core::instance_address owner = 0;
-    };
-
-    /// The end of a send that its owner has not acknowledged yet.
-    struct done_call_state
-    {
-        core::done_call message;
-        core::instance_address owner = 0;
-        unsigned unanswered_calls = 0;
-        std::unique_ptr<asio::steady_timer> timer;
-    };
-
     state(asio::io_context& context,
           const fleet_settings& initial_settings,
           const core::server_registry& registry,
@@ -124,19 +85,25 @@
                   initial_settings.incarnation,
                   initial_settings.incarnation ^ address),
           source_readers(address), socket(context), gossip_timer(context),
-          source_update_timer(context),
-          owned_services(context,
-                         registry,
-                         initial_settings.retry_limits,
-                         this->instance_id,
-                         [this](const core::grant_id& grant,
-                                const core::place_answer& late_answer)
-                         {
-                             this->send_place_answer(grant, late_answer);
-                         })
+          source_update_timer(context), shards(registry, this->instance_id),
+          owned_shards(context,
+                       this->shards,
+                       registry,
+                       initial_settings.retry_limits,
+                       this->instance_id,
+                       this->owner_handlers()),
+          places({context, this->members, this->shards, this->owned_shards,
+                  address, this->instance_id,
+                  [this](core::instance_address recipient,
+                         const core::fleet_message& message)
+                  {
+                      this->send(recipient, message);
+                  }})
     {
     }
 
+    service_owners::handlers owner_handlers();
+
     udp::endpoint endpoint_of(core::instance_address address) const;
     void send(core::instance_address recipient,
               const core::fleet_message& message);
@@ -156,6 +123,8 @@
                     const core::done_call& message);
     void on_message(core::instance_address sender,
                     const core::done_reply& message);
+    void on_message(core::instance_address sender,
+                    const core::shard_crash_report& message);
     void on_message(core::instance_address sender,
                     const core::subscribe& message);
     void on_message(core::instance_address sender,
@@ -171,11 +140,10 @@
     void set_seeds(const std::vector<std::string>& addresses);
 
     void send_place_answer(const core::grant_id& grant,
+                           const core::shard_id& shard,
                            const core::place_answer& answer);
-
-    void call_service_owner(std::uint64_t number);
-    void on_place_timeout(std::uint64_t number);
-    void finish_place(std::uint64_t number, const core::place_answer& answer);
+    void report_crash(const core::shard_id& shard,
+                      const core::crash_event& crash);
     void run_after(asio::steady_timer& timer,
                    milliseconds delay,
                    std::function<void()> callback);
@@ -185,8 +153,6 @@
     core::quota_answer decide_admission(const std::string& account,
                                         double share);
 
-    void send_done_call(std::uint64_t number);
-
     asio::io_context& io;
     fleet_settings settings;
     const core::server_registry& servers;
@@ -210,11 +176,10 @@
     unsigned gossip_rounds = 0;
     bool leaving = false;
     std::uint64_t last_call_number = 0;
-    std::map<std::uint64_t, place_call_state> place_calls;
-    std::map<std::uint64_t, open_grant> grants;
     std::map<std::uint64_t, admit_call_state> admit_calls;
-    std::map<std::uint64_t, done_call_state> done_calls;
-    service_owners owned_services;
+    core::shard_directory shards;
+    service_owners owned_shards;
+    place_calls places;
     fleet_counters counter_values;
 };
 
@@ -515,18 +480,74 @@
     this->finish_admit(message.number, answer);
 }
 
+service_owners::handlers fleet::state::owner_handlers()
+{
+    service_owners::handlers handlers;
+    handlers.on_answer = [this](const core::grant_id& grant,
+                                const core::shard_id& shard,
+                                const core::place_answer& late_answer)
+    {
+        this->send_place_answer(grant, shard, late_answer);
+    };
+    handlers.on_crash =
+        [this](const core::shard_id& shard, const core::crash_event& crash)
+    {
+        this->report_crash(shard, crash);
+    };
+    handlers.instance_fraction = [this]
+    {
+        return this->members.instance_fraction();
+    };
+    return handlers;
+}
+
 // Passes a deferred answer to the instance that waits for it.
 void fleet::state::send_place_answer(const core::grant_id& grant,
+                                     const core::shard_id& shard,
                                      const core::place_answer& answer)
 {
     if (grant.instance == this->instance_id)
     {
-        this->finish_place(grant.number, answer);
+        this->places.on_own_answer(grant, shard, answer);
         return;
     }
     const auto address =
         static_cast<core::instance_address>(grant.instance >> 32U);
-    this->send(address, core::place_reply{grant.number, answer});
+    this->send(address, core::place_reply{grant.number, answer, shard.number,
+                                          this->owned_shards.load(shard)});
+}
+
+// Tells the owners of the other shards of the service, so that a request that
+// crashes servers is stopped wherever it comes next.
+void fleet::state::report_crash(const core::shard_id& shard,
+                                const core::crash_event& crash)
+{
+    const std::uint32_t count = this->shards.count(shard.service);
+    for (std::uint32_t number = 0; number < count; ++number)
+    {
+        if (number == shard.number)
+        {
+            continue;
+        }
+        const core::shard_crash_report report{{shard.service, number}, crash};
+        const core::instance_address owner =
+            this->members.owners(core::owner_key(report.shard), 1, now())
+                .front();
+        if (owner == this->own_address)
+        {
+            this->owned_shards.record_crash(report);
+        }
+        else
+        {
+            this->send(owner, report);
+        }
+    }
+}
+
+void fleet::state::on_message(core::instance_address /*sender*/,
+                              const core::shard_crash_report& message)
+{
+    this->owned_shards.record_crash(message);
 }
 
 void fleet::state::on_message(core::instance_address sender,
@@ -539,48 +560,18 @@
         ++this->counter_values.datagrams_invalid;
         return;
     }
+    const core::place_answer answer = this->owned_shards.request(
+        message.shard, decision_scope::fleet, message.request);
     this->send(sender,
-               core::place_reply{message.request.grant.number,
-                                 this->owned_services.request(
-                                     message.service, message.request)});
+               core::place_reply{message.request.grant.number, answer,
+                                 message.shard.number,
+                                 this->owned_shards.load(message.shard)});
 }
 
 void fleet::state::on_message(core::instance_address sender,
                               const core::place_reply& message)
 {
-    const auto it = this->place_calls.find(message.number);
-    if (it == this->place_calls.end())
-    {
-        // The request has ended, or another owner has placed it. Report the
-        // unused grant, so that the server's slot is freed.
-        const auto grant = this->grants.find(message.number);
-        const bool in_use =
-            grant != this->grants.end() && grant->second.owner == sender;
-        if (!in_use && std::holds_alternative<core::placed>(message.answer))
-        {
-            core::done_call release;
-            release.grant = {this->instance_id, message.number};
-            this->send(sender, release);
-        }
-        return;
-    }
-    place_call_state& call = it->second;
-    if (call.owner_index >= call.owners.size() ||
-        call.owners[call.owner_index] != sender)
-    {
-        return;
-    }
-    call.unanswered_calls = 0;
-    if (std::holds_alternative<core::queued>(message.answer))
-    {
-        this->run_after(*call.timer, queued_call_period,
-                        [this, number = message.number]
-                        {
-                            this->call_service_owner(number);
-                        });
-        return;
-    }
-    this->finish_place(message.number, message.answer);
+    this->places.on_reply(sender, message);
 }
 
 void fleet::state::on_message(core::instance_address sender,
@@ -593,14 +584,15 @@
         ++this->counter_values.datagrams_invalid;
         return;
     }
-    this->send(sender, core::done_reply{message.grant.number});
-    this->owned_services.on_send_ended(message);
+    this->send(sender,
+               core::done_reply{message.grant.number, message.shard.number});
+    this->owned_shards.on_send_ended(message);
 }
 
-void fleet::state::on_message(core::instance_address /*sender*/,
+void fleet::state::on_message(core::instance_address sender,
                               const core::done_reply& message)
 {
-    this->done_calls.erase(message.number);
+    this->places.on_reply(sender, message);
 }
 
 void fleet::state::run_after(asio::steady_timer& timer,
@@ -618,97 +610,6 @@
         });
 }
 
-// Sends the place call to its current owner. Decides here if that owner is this
-// instance, or if no owner has answered.
-void fleet::state::call_service_owner(std::uint64_t number)
-{
-    const auto it = this->place_calls.find(number);
-    if (it == this->place_calls.end())
-    {
-        return;
-    }
-    place_call_state& call = it->second;
-    core::place_request request = call.request;
-    const core::duration waited = now() - call.requested_at;
-    request.time_to_deadline -= std::min(request.time_to_deadline, waited);
-    request.time_to_objective -= std::min(request.time_to_objective, waited);
-    if (request.time_to_deadline <= core::duration(0))
-    {
-        this->finish_place(
-            number,
-            core::place_refused{core::result_code::deadline_unreachable, {}});
-        return;
-    }
-    const bool no_owner_left = call.owner_index >= call.owners.size();
-    if (no_owner_left || call.owners[call.owner_index] == this->own_address)
-    {
-        this->counter_values.local_decisions += no_owner_left ? 1 : 0;
-        const core::place_answer answer =
-            this->owned_services.request(call.service, request);
-        if (!std::holds_alternative<core::queued>(answer))
-        {
-            this->finish_place(number, answer);
-        }
-        return;
-    }
-    this->counter_values.calls_repeated += call.unanswered_calls > 0 ? 1 : 0;
-    ++call.unanswered_calls;
-    this->send(call.owners[call.owner_index],
-               core::place_call{call.service, request});
-    this->run_after(*call.timer, call_timeout,
-                    [this, number]
-                    {
-                        this->on_place_timeout(number);
-                    });
-}
-
-// Repeats a place call that got no answer in time, or passes over its owner
-// after max_calls_per_owner calls.
-void fleet::state::on_place_timeout(std::uint64_t number)
-{
-    const auto it = this->place_calls.find(number);
-    if (it == this->place_calls.end())
-    {
-        return;
-    }
-    place_call_state& call = it->second;
-    if (call.unanswered_calls >= max_calls_per_owner)
-    {
-        const core::instance_address silent_owner =
-            call.owners[call.owner_index];
-        this->members.suspect(silent_owner, now());
-        ++this->counter_values.owners_passed_over;
-        log::write(
-            log::level::info, "home_unanswered",
-            {log::kv("service", call.service),
-             log::kv("home", asio::ip::address_v4(silent_owner).to_string())});
-        ++call.owner_index;
-        call.unanswered_calls = 0;
-    }
-    this->call_service_owner(number);
-}
-
-void fleet::state::finish_place(std::uint64_t number,
-                                const core::place_answer& answer)
-{
-    const auto it = this->place_calls.find(number);
-    if (it == this->place_calls.end())
-    {
-        return;
-    }
-    place_call_state call = std::move(it->second);
-    this->place_calls.erase(it);
-    call.timer->cancel();
-    if (std::holds_alternative<core::placed>(answer))
-    {
-        const bool decided_here = call.owner_index >= call.owners.size();
-        this->grants[number] = {call.service,
-                                decided_here ? this->own_address
-                                             : call.owners[call.owner_index]};
-    }
-    call.handler(answer);
-}
-
 // Sends the admit call to the account's owner. After max_calls_per_owner calls
 // without an answer, decides here with this instance's share of the limit.
 void fleet::state::call_account_owner(std::uint64_t number)
@@ -752,30 +653,6 @@
     call.handler(answer);
 }
 
-// Sends a done call until it is acknowledged; gives up after max_done_repeats
-// repeats.
-void fleet::state::send_done_call(std::uint64_t number)
-{
-    const auto it = this->done_calls.find(number);
-    if (it == this->done_calls.end())
-    {
-        return;
-    }
-    done_call_state& call = it->second;
-    if (call.unanswered_calls > max_done_repeats)
-    {
-        this->done_calls.erase(it);
-        return;
-    }
-    ++call.unanswered_calls;
-    this->send(call.owner, call.message);
-    this->run_after(*call.timer, done_call_timeout,
-                    [this, number]
-                    {
-                        this->send_done_call(number);
-                    });
-}
-
 core::result<std::unique_ptr<fleet>>
 fleet::create(asio::io_context& io,
               const fleet_settings& settings,
@@ -849,63 +726,20 @@
                             core::place_request request,
                             place_handler handler)
 {
-    state& impl = *this->self;
-    const std::uint64_t number = ++impl.last_call_number;
-    request.grant = {impl.instance_id, number};
-    state::place_call_state call;
-    call.service = service;
-    call.request = std::move(request);
-    call.handler = std::move(handler);
-    call.requested_at = now();
-    call.owners =
-        impl.members.owners("service " + service, max_owners_tried, now());
-    call.timer = std::make_unique<asio::steady_timer>(impl.io);
-    impl.place_calls.emplace(number, std::move(call));
-    impl.call_service_owner(number);
-    return {impl.instance_id, number};
+    return this->self->places.place(service, std::move(request),
+                                    std::move(handler));
 }
 
 void fleet::withdraw(const core::grant_id& grant)
 {
-    state& impl = *this->self;
-    const auto it = impl.place_calls.find(grant.number);
-    if (it == impl.place_calls.end())
-    {
-        return;
-    }
-    const state::place_call_state call = std::move(it->second);
-    impl.place_calls.erase(it);
-    const bool decided_here = call.owner_index >= call.owners.size();
-    impl.grants[grant.number] = {call.service,
-                                 decided_here ? impl.own_address
-                                              : call.owners[call.owner_index]};
-    this->report_send_end(grant, core::send_outcome::cancelled, {});
+    this->self->places.withdraw(grant);
 }
 
 void fleet::report_send_end(const core::grant_id& grant,
                             core::send_outcome outcome,
                             core::duration latency)
 {
-    state& impl = *this->self;
-    const auto it = impl.grants.find(grant.number);
-    if (it == impl.grants.end())
-    {
-        return;
-    }
-    const state::open_grant granted = std::move(it->second);
-    impl.grants.erase(it);
-    const core::done_call message{granted.service, grant, outcome, latency};
-    if (granted.owner == impl.own_address)
-    {
-        impl.owned_services.on_send_ended(message);
-        return;
-    }
-    state::done_call_state call;
-    call.message = message;
-    call.owner = granted.owner;
-    call.timer = std::make_unique<asio::steady_timer>(impl.io);
-    impl.done_calls.emplace(grant.number, std::move(call));
-    impl.send_done_call(grant.number);
+    this->self->places.report_send_end(grant, outcome, latency);
 }
 
 void fleet::record_source_confirmation()
@@ -947,10 +781,9 @@
     impl.socket.close(ignored);
     impl.gossip_timer.cancel();
     impl.source_update_timer.cancel();
-    impl.owned_services.close();
-    impl.place_calls.clear();
+    impl.owned_shards.close();
+    impl.places.close();
     impl.admit_calls.clear();
-    impl.done_calls.clear();
 }
 
 std::size_t fleet::live_count() const
@@ -958,9 +791,15 @@
     return this->self->members.live_count(now());
 }
 
-const fleet_counters& fleet::counters() const noexcept
+fleet_counters fleet::counters() const
 {
-    return this->self->counter_values;
+    fleet_counters counters = this->self->counter_values;
+    const place_call_counters& places = this->self->places.counters();
+    counters.calls_repeated += places.calls_repeated;
+    counters.owners_passed_over += places.owners_passed_over;
+    counters.local_decisions += places.local_decisions;
+    counters.second_shards_asked = places.second_shards_asked;
+    return counters;
 }
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -56,6 +56,7 @@
     std::uint64_t calls_repeated = 0;
     std::uint64_t owners_passed_over = 0;
     std::uint64_t local_decisions = 0; ///< decided here as no owner answered
+    std::uint64_t second_shards_asked = 0;
 };
 
 /// Membership, calls to owners and owner decisions of one instance.
@@ -87,9 +88,9 @@
     /// once, possibly before admit() returns.
     void admit(const std::string& account, admit_handler handler);
 
-    /// Asks the service's owner for a server. Sets `request.grant` and returns
-    /// it. The handler is called once, with `placed` or `place_refused`, unless
-    /// the grant is withdrawn before.
+    /// Asks the owner of a shard of the service for a server. Sets
+    /// `request.grant` and returns it. The handler is called once, with
+    /// `placed` or `place_refused`, unless the grant is withdrawn before.
     core::grant_id place(const std::string& service,
                          core::place_request request,
                          place_handler handler);
@@ -117,7 +118,7 @@
 
     /// Number of live instances, this one included.
     std::size_t live_count() const;
-    const fleet_counters& counters() const noexcept;
+    fleet_counters counters() const;
 
 private:
     struct state;
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -22,7 +22,8 @@
     done_call = 6,
     done_reply = 7,
     subscribe = 8,
-    source_update = 9
+    source_update = 9,
+    shard_crash_report = 10
 };
 
 /// Kind of the answer in a place_reply. The numbers must not change either.
@@ -38,11 +39,26 @@
     return std::chrono::duration_cast<milliseconds>(value).count();
 }
 
+/// Loads are sent in percent.
+constexpr double percent = 100.0;
+
+std::uint32_t to_percent(double load)
+{
+    return static_cast<std::uint32_t>(load * percent);
+}
+
 core::duration from_ms(const json& value)
 {
     return milliseconds(value.get<std::uint32_t>());
 }
 
+/// Reads an element that messages of earlier releases lack.
+template <class Value>
+Value optional_element(const json& elements, std::size_t index)
+{
+    return index < elements.size() ? elements[index].get<Value>() : Value{};
+}
+
 /// Starts the array of a message with its kind.
 json header(message_kind kind)
 {
@@ -92,7 +108,7 @@
 {
     const core::place_request& request = message.request;
     json elements = header(message_kind::place_call);
-    elements.push_back(message.service);
+    elements.push_back(message.shard.service);
     elements.push_back(request.grant.instance);
     elements.push_back(request.grant.number);
     elements.push_back(request.data_centre);
@@ -104,6 +120,7 @@
     elements.push_back(to_ms(request.time_to_deadline));
     elements.push_back(request.excluded_servers);
     elements.push_back(request.content_digest);
+    elements.push_back(message.shard.number);
     return elements;
 }
 
@@ -129,17 +146,20 @@
     {
         elements.push_back(static_cast<int>(answer_kind::queued));
     }
+    elements.push_back(message.shard);
+    elements.push_back(to_percent(message.load));
     return elements;
 }
 
 json encode(const core::done_call& message)
 {
     json elements = header(message_kind::done_call);
-    elements.push_back(message.service);
+    elements.push_back(message.shard.service);
     elements.push_back(message.grant.instance);
     elements.push_back(message.grant.number);
     elements.push_back(static_cast<int>(message.outcome));
     elements.push_back(to_ms(message.latency));
+    elements.push_back(message.shard.number);
     return elements;
 }
 
@@ -147,6 +167,17 @@
 {
     json elements = header(message_kind::done_reply);
     elements.push_back(message.number);
+    elements.push_back(message.shard);
+    return elements;
+}
+
+json encode(const core::shard_crash_report& message)
+{
+    json elements = header(message_kind::shard_crash_report);
+    elements.push_back(message.shard.service);
+    elements.push_back(message.shard.number);
+    elements.push_back(message.crash.content_digest);
+    elements.push_back(message.crash.server);
     return elements;
 }
 
@@ -189,7 +220,7 @@
 core::place_call decode_place_call(const json& elements)
 {
     core::place_call message;
-    message.service = elements.at(1).get<std::string>();
+    message.shard.service = elements.at(1).get<std::string>();
     core::place_request& request = message.request;
     request.grant.instance = elements.at(2).get<std::uint64_t>();
     request.grant.number = elements.at(3).get<std::uint64_t>();
@@ -202,6 +233,7 @@
     request.time_to_deadline = from_ms(elements.at(10));
     request.excluded_servers = elements.at(11).get<std::vector<std::string>>();
     request.content_digest = elements.at(12).get<std::uint64_t>();
+    message.shard.number = optional_element<std::uint32_t>(elements, 13);
     return message;
 }
 
@@ -209,29 +241,35 @@
 {
     core::place_reply message;
     message.number = elements.at(1).get<std::uint64_t>();
+    std::size_t next = 3;
     switch (static_cast<answer_kind>(elements.at(2).get<int>()))
     {
     case answer_kind::placed:
         message.answer =
             core::placed{elements.at(3).get<std::string>(),
                          from_ms(elements.at(4)), from_ms(elements.at(5))};
+        next = 6;
         break;
     case answer_kind::refused:
         message.answer = core::place_refused{
             static_cast<core::result_code>(elements.at(3).get<int>()),
             from_ms(elements.at(4))};
+        next = 5;
         break;
     case answer_kind::queued:
         message.answer = core::queued{};
         break;
     }
+    message.shard = optional_element<std::uint32_t>(elements, next);
+    message.load =
+        optional_element<std::uint32_t>(elements, next + 1) / percent;
     return message;
 }
 
 core::done_call decode_done_call(const json& elements)
 {
     core::done_call message;
-    message.service = elements.at(1).get<std::string>();
+    message.shard.service = elements.at(1).get<std::string>();
     message.grant.instance = elements.at(2).get<std::uint64_t>();
     message.grant.number = elements.at(3).get<std::uint64_t>();
     const int outcome = elements.at(4).get<int>();
@@ -242,6 +280,7 @@
     }
     message.outcome = static_cast<core::send_outcome>(outcome);
     message.latency = from_ms(elements.at(5));
+    message.shard.number = optional_element<std::uint32_t>(elements, 6);
     return message;
 }
 
@@ -268,7 +307,13 @@
     case message_kind::done_call:
         return decode_done_call(elements);
     case message_kind::done_reply:
-        return core::done_reply{elements.at(1).get<std::uint64_t>()};
+        return core::done_reply{elements.at(1).get<std::uint64_t>(),
+                                optional_element<std::uint32_t>(elements, 2)};
+    case message_kind::shard_crash_report:
+        return core::shard_crash_report{{elements.at(1).get<std::string>(),
+                                         elements.at(2).get<std::uint32_t>()},
+                                        {elements.at(3).get<std::uint64_t>(),
+                                         elements.at(4).get<std::string>()}};
     case message_kind::subscribe:
         return core::subscribe{elements.at(1).get<std::uint64_t>()};
     case message_kind::source_update:
@@ -298,8 +343,8 @@
 {
     const std::error_code invalid =
         core::make_error_code(core::result_code::peer_message_invalid);
-    // nlohmann::json reports missing elements and wrong types by exceptions. The
-    // parser throws too, for a claim of more elements than can exist.
+    // nlohmann::json reports missing elements and wrong types by exceptions.
+    // The parser throws too, for a claim of more elements than can exist.
     try
     {
         const json elements =
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <csignal>
 #include <medlarbarrow/net/admin.hpp>
+#include <medlarbarrow/net/compression.hpp>
 #include <medlarbarrow/net/fleet_instance.hpp>
 #include <medlarbarrow/net/http_connection.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -31,10 +32,14 @@
 /// Time that a source update or the instance's own read of the source gets
 /// before a peer is asked for the missing changes.
 constexpr milliseconds catch_up_delay{20};
+/// The same for an instance that has nothing yet: its own listing takes several
+/// calls, and what a peer would send is large.
+constexpr milliseconds first_catch_up_delay{400};
 /// Timeout of the request to the peer.
 constexpr milliseconds catch_up_timeout{500};
 constexpr std::size_t max_published_bytes = 16U << 20U;
-constexpr std::string_view published_path = "/published?since=";
+/// Answered with compressed changes.
+constexpr std::string_view published_path = "/published-zlib?since=";
 
 /// File descriptors reserved for connections to servers and peers and for
 /// files.
@@ -161,7 +166,10 @@
         return;
     }
     this->catching_up = true;
-    this->run_after(this->catch_up_timer, catch_up_delay,
+    const milliseconds delay = this->published_data.revision() == 0
+                                   ? first_catch_up_delay
+                                   : catch_up_delay;
+    this->run_after(this->catch_up_timer, delay,
                     [this, address, revision]
                     {
                         this->catch_up(address, revision);
@@ -194,13 +202,17 @@
         [this, address](const core::result<http_answer>& answer)
         {
             this->catching_up = false;
-            if (answer)
+            const auto changes =
+                answer ? decompress(answer->body, max_published_bytes)
+                       : core::result<std::string>(answer.error());
+            if (changes)
             {
-                this->apply_peer_changes(answer->body);
+                this->apply_peer_changes(*changes);
             }
             log::write(log::level::info, "caught_up",
                        {log::kv("peer", address),
                         log::kv("reached", answer.has_value()),
+                        log::kv("readable", changes.has_value()),
                         log::kv("revision", this->published_data.revision())});
         });
 }
@@ -222,7 +234,7 @@
     {
         return std::nullopt;
     }
-    return this->published_data.text_since(since);
+    return compress(this->published_data.text_since(since));
 }
 
 std::error_code fleet_instance::state::open_fleet()
@@ -424,7 +436,7 @@
     this->request_metrics.set_view(this->make_view());
     this->request_metrics.log_lines_dropped(log::dropped_lines());
     std::string text = this->request_metrics.text();
-    const fleet_counters& fleet_counts = this->fleet_peers->counters();
+    const fleet_counters fleet_counts = this->fleet_peers->counters();
     const gateway_counters gateway_counts = this->caller_gateway->counters();
     const source_counters source_counts = this->source_reader->counters();
     const auto add_counter = [&text](std::string_view name, std::uint64_t value)
@@ -443,6 +455,8 @@
     add_counter("fleet_homes_passed_over_total",
                 fleet_counts.owners_passed_over);
     add_counter("fleet_local_decisions_total", fleet_counts.local_decisions);
+    add_counter("fleet_second_shards_asked_total",
+                fleet_counts.second_shards_asked);
     add_counter("second_sends_total", gateway_counts.second_sends);
     add_counter("server_connections_opened_total",
                 gateway_counts.servers.connections_opened);
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -96,7 +96,7 @@
         this->registry.find(server->server.name);
     const bool state_changed =
         registered == nullptr || registered->leaving != server->leaving;
-    if (state_changed)
+    if (state_changed && !this->in_first_listing)
     {
         log::write(log::level::info,
                    server->leaving ? "server_leaving" : "server_announced",
@@ -173,11 +173,20 @@
 {
     std::set<std::string> listed_keys;
     bool has_changes = false;
+    // One line instead of one for each server: all instances list all servers.
+    this->in_first_listing = this->current_revision == 0;
     for (const published_item& item : listing)
     {
         listed_keys.insert(item.key);
         has_changes |= this->store(item, now);
     }
+    if (this->in_first_listing)
+    {
+        log::write(log::level::info, "servers_listed",
+                   {log::kv("servers", this->registry.all().size()),
+                    log::kv("revision", revision)});
+        this->in_first_listing = false;
+    }
     std::vector<std::string> missing_keys;
     for (const auto& [key, stored] : this->items)
     {
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -168,6 +168,7 @@
     std::shared_ptr<const core::document> current_document;
     core::server_registry registry;
     published_counters counts;
+    bool in_first_listing = false;
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -19,52 +19,74 @@
 } // namespace
 
 service_owners::service_owners(boost::asio::io_context& io,
+                               core::shard_directory& directory,
                                const core::server_registry& registry,
                                const core::retry_limits& limits,
                                std::uint64_t initial_seed,
-                               answer_handler handler)
-    : servers(registry), retry_limits(limits), seed(initial_seed),
-      on_answer(std::move(handler)), timer(io)
+                               handlers initial_callbacks)
+    : shards(directory), servers(registry), retry_limits(limits),
+      seed(initial_seed), callbacks(std::move(initial_callbacks)), timer(io)
 {
 }
 
-// Returns the service with its current servers; adds it at its first request.
-service_owners::owned_service&
-service_owners::find_or_create(const std::string& service)
+// Returns the shard with its current servers; adds it at its first request.
+service_owners::owned_shard&
+service_owners::find_or_create(const shard_key& key)
 {
-    const auto [it, inserted] = this->owned_services.try_emplace(
-        service,
-        owned_service{core::placement(this->retry_limits,
-                                      core::hash_text(service, this->seed)),
-                      0});
-    this->refresh_servers(service, it->second);
-    return it->second;
+    const auto position = this->owned_shards.find(key);
+    if (position != this->owned_shards.end())
+    {
+        this->refresh_servers(key, position->second);
+        return position->second;
+    }
+    const std::uint64_t placement_seed =
+        core::hash_text(core::owner_key(key.shard), this->seed);
+    const auto added = this->owned_shards.emplace(
+        key,
+        owned_shard{core::placement(this->limits_of(key), placement_seed), 0});
+    this->refresh_servers(key, added.first->second);
+    return added.first->second;
+}
+
+// The allowance of the service's retry budget is divided between its shards.
+// An instance that decides alone has only its own part of it, so that the parts
+// add up to the budget however many do.
+core::retry_limits service_owners::limits_of(const shard_key& key) const
+{
+    core::retry_limits limits = this->retry_limits;
+    limits.allowance /= this->shards.count(key.shard.service);
+    if (key.scope == decision_scope::alone)
+    {
+        limits.allowance *= this->callbacks.instance_fraction();
+    }
+    return limits;
 }
 
-void service_owners::refresh_servers(const std::string& service,
-                                     owned_service& owned)
+void service_owners::refresh_servers(const shard_key& key, owned_shard& owned)
 {
     if (owned.registry_version != this->servers.version())
     {
         owned.registry_version = this->servers.version();
-        owned.placement.set_servers(this->servers.usable(service), now());
+        owned.placement.set_limits(this->limits_of(key));
+        owned.placement.set_servers(this->shards.servers(key.shard), now());
     }
 }
 
-core::place_answer service_owners::request(const std::string& service,
+core::place_answer service_owners::request(const core::shard_id& shard,
+                                           decision_scope scope,
                                            const core::place_request& request)
 {
     core::place_answer answer =
-        this->find_or_create(service).placement.request(request, now());
+        this->find_or_create({shard, scope}).placement.request(request, now());
     this->start_timer();
     return answer;
 }
 
 void service_owners::on_send_ended(const core::done_call& ended)
 {
-    for (auto& [service, owned] : this->owned_services)
+    for (auto& [key, owned] : this->owned_shards)
     {
-        if (!ended.service.empty() && service != ended.service)
+        if (!ended.shard.service.empty() && key.shard != ended.shard)
         {
             continue;
         }
@@ -77,26 +99,45 @@
             owned.placement.on_send_ended(ended.grant, ended.outcome,
                                           ended.latency, now());
         }
+        for (const core::crash_event& crash : owned.placement.take_crashes())
+        {
+            this->callbacks.on_crash(key.shard, crash);
+        }
         if (owned.placement.waiting() > 0)
         {
-            this->update(service, owned);
+            this->update(key, owned);
         }
     }
     this->start_timer();
 }
 
+void service_owners::record_crash(const core::shard_crash_report& report)
+{
+    this->find_or_create({report.shard, decision_scope::fleet})
+        .placement.record_crash(report.crash, now());
+}
+
+double service_owners::load(const core::shard_id& shard) const
+{
+    const auto owned = this->owned_shards.find({shard, decision_scope::fleet});
+    return owned == this->owned_shards.end()
+               ? 0.0
+               : owned->second.placement.load(now());
+}
+
 // Passes on the deferred answers and logs the changes of server states.
-void service_owners::update(const std::string& service, owned_service& owned)
+void service_owners::update(const shard_key& key, owned_shard& owned)
 {
-    this->refresh_servers(service, owned);
+    this->refresh_servers(key, owned);
     for (const core::deferred_answer& deferred : owned.placement.tick(now()))
     {
-        this->on_answer(deferred.grant, deferred.answer);
+        this->callbacks.on_answer(deferred.grant, key.shard, deferred.answer);
     }
     for (const core::placement_event& event : owned.placement.take_events())
     {
         log::write(log::level::info, "server_" + event.change,
-                   {log::kv("service", service),
+                   {log::kv("service", key.shard.service),
+                    log::kv("shard", key.shard.number),
                     log::kv("server", event.server),
                     log::kv("reason", event.reason),
                     log::kv("doubt", fmt::format("{:.2f}", event.suspicion)),
@@ -108,9 +149,9 @@
 void service_owners::update_all()
 {
     bool has_requests = false;
-    for (auto& [service, owned] : this->owned_services)
+    for (auto& [key, owned] : this->owned_shards)
     {
-        this->update(service, owned);
+        this->update(key, owned);
         has_requests |=
             owned.placement.running() > 0 || owned.placement.waiting() > 0;
     }
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -1,4 +1,4 @@
-/// Owner decisions of this instance: holds the placement of each service whose
+/// Owner decisions of this instance: holds the placement of each shard whose
 /// requests arrive here and keeps it up to date with the announced servers.
 #pragma once
 
@@ -7,61 +7,96 @@
 #include <functional>
 #include <map>
 #include <medlarbarrow/core/fleet_messages.hpp>
-#include <medlarbarrow/core/registry.hpp>
+#include <medlarbarrow/core/shards.hpp>
 #include <string>
 
 namespace medlarbarrow::net
 {
 
-/// Decides which server gets each request of the services that this instance
+/// For whom this instance decides about a shard.
+enum class decision_scope : std::uint8_t
+{
+    fleet, ///< as the owner of the shard
+    alone  ///< only for its own requests, as no owner answers
+};
+
+/// Decides which server gets each request of the shards that this instance
 /// owns.
 class service_owners
 {
 public:
-    /// Called with the answer to a request that had to wait.
-    using answer_handler =
-        std::function<void(const core::grant_id&, const core::place_answer&)>;
+    struct handlers
+    {
+        /// Called with the answer to a request that had to wait.
+        std::function<void(const core::grant_id&,
+                           const core::shard_id&,
+                           const core::place_answer&)>
+            on_answer;
+        /// Called when a request has crashed a server of an owned shard.
+        std::function<void(const core::shard_id&, const core::crash_event&)>
+            on_crash;
+        /// Fraction that one instance makes up of the fleet.
+        std::function<double()> instance_fraction;
+    };
 
-    /// `servers` must outlive this object.
+    /// `shards` must outlive this object.
     service_owners(boost::asio::io_context& io,
+                   core::shard_directory& shards,
                    const core::server_registry& servers,
                    const core::retry_limits& limits,
                    std::uint64_t seed,
-                   answer_handler on_answer);
+                   handlers callbacks);
 
-    /// Decides about a request. If it is queued, the answer_handler gets the
-    /// answer later.
-    core::place_answer request(const std::string& service,
+    /// Decides about a request. If it is queued, on_answer gets the answer
+    /// later.
+    core::place_answer request(const core::shard_id& shard,
+                               decision_scope scope,
                                const core::place_request& request);
 
     /// Records the end of a send. If `ended` names no service, the grant is
-    /// looked up in all of them.
+    /// looked up in all shards.
     void on_send_ended(const core::done_call& ended);
 
+    /// Records a crash that the owner of another shard has seen.
+    void record_crash(const core::shard_crash_report& report);
+
+    /// Load of the shard as its owner, see placement::load().
+    double load(const core::shard_id& shard) const;
+
     /// Stops the periodic work.
     void close();
 
 private:
-    /// A service that this instance decides about.
-    struct owned_service
+    struct shard_key
+    {
+        core::shard_id shard;
+        decision_scope scope = decision_scope::fleet;
+
+        auto operator<=>(const shard_key&) const = default;
+    };
+
+    /// A shard that this instance decides about.
+    struct owned_shard
     {
         core::placement placement;
         std::uint64_t registry_version = 0; ///< of the current servers
     };
 
-    owned_service& find_or_create(const std::string& service);
-    void refresh_servers(const std::string& service, owned_service& owned);
-    void update(const std::string& service, owned_service& owned);
+    owned_shard& find_or_create(const shard_key& key);
+    core::retry_limits limits_of(const shard_key& key) const;
+    void refresh_servers(const shard_key& key, owned_shard& owned);
+    void update(const shard_key& key, owned_shard& owned);
     void update_all();
     void start_timer();
 
+    core::shard_directory& shards;
     const core::server_registry& servers;
     core::retry_limits retry_limits;
     std::uint64_t seed;
-    answer_handler on_answer;
+    handlers callbacks;
     boost::asio::steady_timer timer;
     bool timer_running = false;
-    std::map<std::string, owned_service> owned_services;
+    std::map<shard_key, owned_shard> owned_shards;
 };
 
 } // namespace medlarbarrow::net
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -47,6 +47,18 @@
     }
 };
 
+/// Its route has a deadline far beyond the time that a large body takes in any
+/// build, for tests about bodies and not about time.
+class entry_with_a_long_deadline : public entry_with_a_healthy_server
+{
+protected:
+    void SetUp() override
+    {
+        this->document->routes.at(0).deadline = std::chrono::minutes(5);
+        this->start();
+    }
+};
+
 /// Its route has a short deadline, for tests with a server that hangs.
 class entry_with_a_short_deadline : public entry_with_a_healthy_server
 {
@@ -327,9 +339,10 @@
 
 // Guards against losing bytes of a large request body, and against buffering it
 // instead of streaming it, with a Content-Length and chunked.
-TEST_F(entry_with_a_healthy_server, streams_large_bodies_to_the_server)
+TEST_F(entry_with_a_long_deadline, streams_large_bodies_to_the_server)
 {
     const std::string body(large_body_bytes, 'b');
+    const std::uint64_t before = memory_in_use();
     caller connection(this->port());
     const std::string expected =
         "\"body_bytes\":" + std::to_string(large_body_bytes) + "}";
@@ -347,6 +360,7 @@
     {
         connection.send("7a120\r\n" + body.substr(0, 500000) + "\r\n");
     }
+    EXPECT_LT(memory_in_use(), before + 4'000'000);
     EXPECT_NE(connection.request("0\r\nX-Trailer: 1\r\n\r\n")
                   .message.body()
                   .find(expected),
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -16,7 +16,7 @@
     gossip.wants_reply = true;
     gossip.members = {{0x0a010005, 77, 250ms, false}, {9, 8, 1s, true}};
     core::place_call place;
-    place.service = "specbook";
+    place.shard = {"specbook", 3};
     place.request.grant = {7, 9};
     place.request.data_centre = "suva";
     place.request.work_kind = 3;
@@ -26,18 +26,21 @@
     place.request.time_to_deadline = 2500ms;
     place.request.excluded_servers = {"i-1", "i-2"};
     place.request.content_digest = 0xfeedbeefcafef00d;
-    return {gossip,
-            core::subscribe{5},
-            core::source_update{7, 20ms, 6, "changes"},
-            core::admit_call{3, "loft"},
-            core::admit_reply{3, true, {true, 20ms}},
-            place,
-            core::place_reply{9, core::placed{"i-3", 200ms, 500ms}},
-            core::place_reply{9, core::queued{}},
-            core::place_reply{
-                9, core::place_refused{core::result_code::queue_full, 100ms}},
-            core::done_call{"specbook", {7, 9}, core::send_outcome::shed, 5ms},
-            core::done_reply{9}};
+    return {
+        gossip,
+        core::subscribe{5},
+        core::source_update{7, 20ms, 6, "changes"},
+        core::admit_call{3, "loft"},
+        core::admit_reply{3, true, {true, 20ms}},
+        place,
+        core::place_reply{9, core::placed{"i-3", 200ms, 500ms}, 3, 0.5},
+        core::place_reply{9, core::queued{}, 3, 2.5},
+        core::place_reply{
+            9, core::place_refused{core::result_code::queue_full, 100ms}, 3,
+            1.25},
+        core::done_call{{"specbook", 3}, {7, 9}, core::send_outcome::shed, 5ms},
+        core::done_reply{9, 3},
+        core::shard_crash_report{{"specbook", 3}, {0xfeedbeefcafef00d, "i-2"}}};
 }
 
 } // namespace
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -118,6 +118,33 @@
     EXPECT_EQ(most_votes, 40U);
 }
 
+// Guards against callers of a large fleet that ask different owners, because
+// reports spread more slowly than the fleet grows. An instance that has just
+// started exchanges more reports, more often.
+TEST_F(a_gossiping_fleet, agrees_on_owners_with_hundreds_of_members)
+{
+    constexpr std::size_t fleet_size = 440;
+    this->grow_to(fleet_size);
+    for (unsigned join_round = 0; join_round < 20; ++join_round)
+    {
+        this->exchange_all(64, 2);
+        this->now += 100ms;
+    }
+    this->run(8s);
+    std::map<core::instance_address, unsigned> votes;
+    for (const auto& [address, member] : this->members)
+    {
+        EXPECT_GE(member->live_count(this->now), fleet_size * 99 / 100);
+        ++votes[member->owners("service specbook", 1, this->now).front()];
+    }
+    unsigned most_votes = 0;
+    for (const auto& [owner, count] : votes)
+    {
+        most_votes = std::max(most_votes, count);
+    }
+    EXPECT_GE(most_votes, fleet_size * 99 / 100);
+}
+
 // Guards against requests to an owner that has died.
 TEST_F(a_gossiping_fleet, excludes_a_dead_member)
 {
