--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -41,10 +41,6 @@
 /// Share of its slots that a server uses while it warms up.
 constexpr double warm_up_capacity_share = 0.67;
 
-/// Share of the service's retry budget that an owner uses. The rest covers the
-/// repeats that an earlier owner granted in the same window.
-constexpr double owner_budget_share = 0.5;
-
 /// Terms of a server's cost, in units of the load of a full server.
 constexpr double remote_data_centre_cost = 0.35;
 constexpr double open_connection_gain = 0.15;
@@ -112,13 +108,13 @@
 } // namespace
 
 placement::placement(retry_limits configured_limits, std::uint64_t seed)
-    : limits(configured_limits), random(seed)
+    : repeats(configured_limits), random(seed)
 {
 }
 
 void placement::set_limits(const retry_limits& new_limits)
 {
-    this->limits = new_limits;
+    this->repeats.set_limits(new_limits);
 }
 
 // Keeps the state of servers that remain. A server that has been restarted
@@ -396,8 +392,7 @@
 placement::server_state*
 placement::server_due_for_probe(const place_request& request, time_point now)
 {
-    if (!request.repeatable || request.repeat ||
-        !this->has_repeat_budget(now) ||
+    if (!request.repeatable || request.repeat || !this->repeats.has_room(now) ||
         request.time_to_objective <
             this->overdue_after(request) + this->typical_duration(request))
     {
@@ -416,43 +411,6 @@
     return nullptr;
 }
 
-// Returns the counts of the current second and drops those that have left the
-// window.
-placement::second_counts& placement::counts_at(time_point now)
-{
-    const std::int64_t second =
-        std::chrono::duration_cast<seconds>(now.time_since_epoch()).count();
-    const std::int64_t window =
-        std::chrono::duration_cast<seconds>(this->limits.window).count();
-    while (!this->counts_by_second.empty() &&
-           this->counts_by_second.front().second <= second - window)
-    {
-        this->counts_by_second.pop_front();
-    }
-    if (this->counts_by_second.empty() ||
-        this->counts_by_second.back().second != second)
-    {
-        this->counts_by_second.push_back({second, 0, 0});
-    }
-    return this->counts_by_second.back();
-}
-
-// Whether the retry budget of the window allows one more repeat.
-bool placement::has_repeat_budget(time_point now)
-{
-    this->counts_at(now);
-    double requests = 0;
-    double repeats = 0;
-    for (const second_counts& second : this->counts_by_second)
-    {
-        requests += second.requests;
-        repeats += second.repeats;
-    }
-    const double allowed =
-        this->limits.ratio * requests + this->limits.allowance;
-    return repeats + 1 <= owner_budget_share * allowed;
-}
-
 // Takes a slot of the server for the request. On a server that is warming up,
 // the request becomes overdue only after twice the usual time.
 place_answer placement::grant(const place_request& request,
@@ -474,7 +432,7 @@
     server.last_send_by_instance[request.grant.instance] = now;
     if (request.repeat)
     {
-        ++this->counts_at(now).repeats;
+        this->repeats.count_repeat(now);
     }
     placed answer{active.server, this->typical_duration(request), overdue};
     this->grants[request.grant] = std::move(active);
@@ -535,7 +493,7 @@
     }
     if (!request.repeat)
     {
-        ++this->counts_at(now).requests;
+        this->repeats.count_request(now);
     }
     if (this->is_crashing(request.content_digest))
     {
@@ -545,7 +503,7 @@
     {
         return this->make_refusal(result_code::no_healthy_server, now);
     }
-    if (request.repeat && !this->has_repeat_budget(now))
+    if (request.repeat && !this->repeats.has_room(now))
     {
         return this->make_refusal(result_code::server_shed, now);
     }
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -6,9 +6,9 @@
 #pragma once
 
 #include <array>
-#include <deque>
 #include <map>
 #include <medlarbarrow/core/registry.hpp>
+#include <medlarbarrow/core/repeat_budget.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
 #include <optional>
 #include <random>
@@ -29,15 +29,6 @@
     auto operator<=>(const grant_id&) const = default;
 };
 
-/// Retry budget of a service: limits the sends beyond the first of each
-/// request, over all instances.
-struct retry_limits
-{
-    double ratio = 0.2;      ///< repeats per request
-    double allowance = 20.0; ///< repeats per window, in addition to the ratio
-    duration window = std::chrono::seconds(10);
-};
-
 /// Asks the owner of the service for a server.
 struct place_request
 {
@@ -216,14 +207,6 @@
         time_point last_crash{};
     };
 
-    /// Requests and repeats in one second of the retry budget's window.
-    struct second_counts
-    {
-        std::int64_t second = 0;
-        std::uint32_t requests = 0;
-        std::uint32_t repeats = 0;
-    };
-
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
     void decay_suspicion(server_state& server, time_point now) const;
     void raise_suspicion(const std::string& name,
@@ -265,19 +248,16 @@
     grant(const place_request& request, server_state& server, time_point now);
     place_refused make_refusal(result_code code, time_point now) const;
     duration expected_wait(std::uint32_t rank, time_point now) const;
-    bool has_repeat_budget(time_point now);
-    second_counts& counts_at(time_point now);
     void check_active_grants(time_point now);
     bool is_crashing(std::uint64_t content) const;
     void sort_queue(time_point now);
 
-    retry_limits limits;
+    repeat_budget repeats;
     std::mt19937_64 random;
     std::map<std::string, server_state> servers;
     std::map<grant_id, active_grant> grants;
     std::vector<queued_request> queue;
     std::unordered_map<std::uint32_t, work_time> work_times;
-    std::deque<second_counts> counts_by_second; ///< newest last
     std::unordered_map<std::uint64_t, crash_record> crashes;
     std::vector<crash_event> new_crashes;
     std::vector<placement_event> events;
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -8,6 +8,7 @@
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/place_calls.hpp>
 #include <medlarbarrow/net/service_owners.hpp>
+#include <medlarbarrow/net/timers.hpp>
 
 namespace medlarbarrow::net
 {
@@ -144,9 +145,6 @@
                            const core::place_answer& answer);
     void report_crash(const core::shard_id& shard,
                       const core::crash_event& crash);
-    void run_after(asio::steady_timer& timer,
-                   milliseconds delay,
-                   std::function<void()> callback);
 
     void call_account_owner(std::uint64_t number);
     void finish_admit(std::uint64_t number, const core::quota_answer& answer);
@@ -312,12 +310,12 @@
             this->send(*seed, this->make_gossip(true, report_count));
         }
     }
-    this->run_after(this->gossip_timer,
-                    knows_no_peer || joining ? join_period : gossip_period,
-                    [this]
-                    {
-                        this->gossip_round();
-                    });
+    run_after(this->gossip_timer,
+              knows_no_peer || joining ? join_period : gossip_period,
+              [this]
+              {
+                  this->gossip_round();
+              });
 }
 
 void fleet::state::on_message(core::instance_address sender,
@@ -421,7 +419,7 @@
     }
     this->send_source_updates(this->callbacks.revision());
     this->callbacks.set_reading_enabled(this->source_readers.must_read(now()));
-    this->run_after(
+    run_after(
         this->source_update_timer,
         std::chrono::duration_cast<milliseconds>(core::source_update_period),
         [this]
@@ -595,21 +593,6 @@
     this->places.on_reply(sender, message);
 }
 
-void fleet::state::run_after(asio::steady_timer& timer,
-                             milliseconds delay,
-                             std::function<void()> callback)
-{
-    timer.expires_after(delay);
-    timer.async_wait(
-        [callback = std::move(callback)](error_code failure)
-        {
-            if (!failure)
-            {
-                callback();
-            }
-        });
-}
-
 // Sends the admit call to the account's owner. After max_calls_per_owner calls
 // without an answer, decides here with this instance's share of the limit.
 void fleet::state::call_account_owner(std::uint64_t number)
@@ -632,11 +615,11 @@
     }
     ++call.unanswered_calls;
     this->send(call.owner, core::admit_call{number, call.account});
-    this->run_after(*call.timer, call_timeout,
-                    [this, number]
-                    {
-                        this->call_account_owner(number);
-                    });
+    run_after(*call.timer, call_timeout,
+              [this, number]
+              {
+                  this->call_account_owner(number);
+              });
 }
 
 void fleet::state::finish_admit(std::uint64_t number,
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -7,6 +7,7 @@
 #include <medlarbarrow/net/http_connection.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/metrics.hpp>
+#include <medlarbarrow/net/timers.hpp>
 
 namespace medlarbarrow::net
 {
@@ -86,9 +87,6 @@
     void begin_stop();
     void end(bool all_ended);
     void tick_registry();
-    void run_after(asio::steady_timer& timer,
-                   milliseconds delay,
-                   std::function<void()> callback);
     bool is_ready() const;
     core::node_view make_view() const;
     std::string metrics_text();
@@ -117,21 +115,6 @@
     bool all_requests_ended = false;
 };
 
-void fleet_instance::state::run_after(asio::steady_timer& timer,
-                                      milliseconds delay,
-                                      std::function<void()> callback)
-{
-    timer.expires_after(delay);
-    timer.async_wait(
-        [callback = std::move(callback)](error_code failure)
-        {
-            if (!failure)
-            {
-                callback();
-            }
-        });
-}
-
 void fleet_instance::state::on_published()
 {
     if (this->published_data.document() && this->caller_gateway)
@@ -169,11 +152,11 @@
     const milliseconds delay = this->published_data.revision() == 0
                                    ? first_catch_up_delay
                                    : catch_up_delay;
-    this->run_after(this->catch_up_timer, delay,
-                    [this, address, revision]
-                    {
-                        this->catch_up(address, revision);
-                    });
+    run_after(this->catch_up_timer, delay,
+              [this, address, revision]
+              {
+                  this->catch_up(address, revision);
+              });
 }
 
 // Fetches the changes from a peer over HTTP, unless they have arrived by now.
@@ -530,21 +513,20 @@
                {log::kv("running", this->caller_gateway->running_requests())});
     this->fleet_peers->leave();
     this->caller_gateway->drain();
-    this->run_after(this->stop_timer, balancer_removal_time,
-                    [this]
-                    {
-                        this->caller_gateway->stop(
-                            [this]
-                            {
-                                this->end(true);
-                            });
-                    });
-    this->run_after(this->kill_timer,
-                    this->adapter.shutdown_grace - shutdown_margin,
-                    [this]
-                    {
-                        this->end(false);
-                    });
+    run_after(this->stop_timer, balancer_removal_time,
+              [this]
+              {
+                  this->caller_gateway->stop(
+                      [this]
+                      {
+                          this->end(true);
+                      });
+              });
+    run_after(this->kill_timer, this->adapter.shutdown_grace - shutdown_margin,
+              [this]
+              {
+                  this->end(false);
+              });
 }
 
 void fleet_instance::state::end(bool all_ended)
@@ -558,11 +540,11 @@
 void fleet_instance::state::tick_registry()
 {
     this->published_data.servers().tick(core::boot_clock::now());
-    this->run_after(this->registry_timer, registry_period,
-                    [this]
-                    {
-                        this->tick_registry();
-                    });
+    run_after(this->registry_timer, registry_period,
+              [this]
+              {
+                  this->tick_registry();
+              });
 }
 
 core::result<std::unique_ptr<fleet_instance>>
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/place_calls.hpp>
+#include <medlarbarrow/net/timers.hpp>
 
 namespace medlarbarrow::net
 {
@@ -28,21 +29,6 @@
     return core::boot_clock::now();
 }
 
-void run_after(asio::steady_timer& timer,
-               milliseconds delay,
-               std::function<void()> callback)
-{
-    timer.expires_after(delay);
-    timer.async_wait(
-        [callback = std::move(callback)](boost::system::error_code failure)
-        {
-            if (!failure)
-            {
-                callback();
-            }
-        });
-}
-
 /// Whether another shard may have a place for a request that this answer
 /// refuses. A blocked request is refused by all, and a repeat beyond the retry
 /// budget must not run.
