Give sound servers work while sends fail, whatever they cost

Cause: under light load an idle server always costs less than one with a past failure (0.4 per unit of suspicion, decaying over seconds) or without a recent success (0.3 for unrepeatable work), so that such a server got nothing although it worked again. Suspected servers waited for probes, which need a request that can be sent twice within its objective and room in the retry budget, and which went to the first ones by name.

Change: while at least 7 in 100 sends fail and there are as many requests as servers, a server without work for 1.2 s gets the next request, the one that has waited longest first, until 9 in 10 are in use. Unrepeatable requests go to suspected servers only in a shard without repeatable work. Early probes pause meanwhile, as they took the retry budget. Suspicion excludes at most 1 minus the floor share of the servers, by rank, instead of none below 0.4.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -31,13 +31,36 @@
 /// A success multiplies the suspicion by this.
 constexpr double success_factor = 0.45;
 
-/// If a smaller share of the servers is trusted, the fault lies in the service.
-/// Suspicion then orders the servers but excludes none.
-constexpr double min_trusted_share = 0.4;
-
 /// Shortest time between two probes of a suspected server.
 constexpr milliseconds probe_interval{600};
 
+/// Requests, failures and servers in use are counted over this time, in periods
+/// of `count_period`.
+constexpr seconds spread_time{2};
+constexpr milliseconds count_period{100};
+
+/// Sends count as failing from this share of failures on. It is below the tenth
+/// from which the floor share is demanded, because each shard sees only a part
+/// of the failures of its service.
+constexpr double min_failure_share = 0.07;
+
+/// While sends fail, a server that has been without work for such a time is due
+/// for work. Each time leaves the rest of `spread_time` for a request that
+/// suits. Unrepeatable requests come later, because a failure of theirs cannot
+/// be made good.
+constexpr milliseconds idle_before_work{1200};
+constexpr milliseconds idle_before_unrepeatable_work{1700};
+/// Time since its last failure after which a server is due. A suspected server
+/// waits longer: faults last some seconds, so that an earlier request would
+/// often be lost.
+constexpr milliseconds min_failure_age{1000};
+constexpr milliseconds min_failure_age_if_suspected{2500};
+
+/// The part of the servers above the floor share that may stay without work
+/// while sends fail. The floor counts only servers that work, which are not
+/// known here, so that the share of all servers in use has to be higher.
+constexpr double idle_part_above_floor = 1.0 / 3;
+
 /// Share of its slots that a server uses while it warms up.
 constexpr double warm_up_capacity_share = 0.67;
 
@@ -99,6 +122,12 @@
     return std::chrono::duration_cast<duration>(real_seconds(value));
 }
 
+bool too_many_fail(std::size_t failures, std::size_t results)
+{
+    return failures > 0 && static_cast<double>(failures) >=
+                               min_failure_share * static_cast<double>(results);
+}
+
 bool contains_name(const std::vector<std::string>& names,
                    const std::string& name)
 {
@@ -117,6 +146,11 @@
     this->repeats.set_limits(new_limits);
 }
 
+void placement::set_floor_share(double share)
+{
+    this->floor_share = share;
+}
+
 // Keeps the state of servers that remain. A server that has been restarted
 // begins with a new state.
 void placement::set_servers(const std::vector<const announced_server*>& usable,
@@ -135,6 +169,7 @@
         else
         {
             state.suspicion_updated = now;
+            state.last_work = now;
         }
         state.announced = *announced;
         updated.emplace(announced->server.name, std::move(state));
@@ -179,6 +214,10 @@
     server_state& server = position->second;
     this->decay_suspicion(server, now);
     server.suspicion = std::min(server.suspicion + amount, max_suspicion);
+    if (amount > 0.0)
+    {
+        server.last_failure = now;
+    }
     if (!server.suspected && server.suspicion >= suspicion_threshold)
     {
         server.suspected = true;
@@ -287,11 +326,38 @@
     return cost;
 }
 
+// Suspicion up to which suspected servers are eligible, so that the floor share
+// of all servers is: the least suspected ones stay in use. 0 if enough servers
+// are trusted.
+double placement::eligible_suspicion() const
+{
+    std::vector<double> suspicions;
+    for (const auto& [name, server] : this->servers)
+    {
+        if (server.suspected)
+        {
+            suspicions.push_back(server.suspicion);
+        }
+    }
+    const auto needed = static_cast<std::size_t>(std::ceil(
+        this->floor_share * static_cast<double>(this->servers.size())));
+    const std::size_t trusted = this->servers.size() - suspicions.size();
+    if (trusted >= needed)
+    {
+        return 0.0;
+    }
+    const auto last =
+        suspicions.begin() + static_cast<std::ptrdiff_t>(needed - trusted) - 1;
+    std::nth_element(suspicions.begin(), last, suspicions.end());
+    return *last;
+}
+
 bool placement::is_eligible(const server_state& server,
-                            bool service_fails,
+                            const overview& servers_now,
                             bool waited_long) const
 {
-    return !server.suspected || service_fails || waited_long;
+    return !server.suspected || waited_long ||
+           server.suspicion <= servers_now.eligible_suspicion;
 }
 
 // Requests that the server may run at once. A request that has waited long also
@@ -315,8 +381,7 @@
             const std::uint32_t limit =
                 this->request_limit(server, waited_long, now);
             if (server.running < limit &&
-                this->is_eligible(server, servers_now.service_fails,
-                                  waited_long))
+                this->is_eligible(server, servers_now, waited_long))
             {
                 (waited_long ? servers_now.free_places_after_long_wait
                              : servers_now.free_places) +=
@@ -328,16 +393,14 @@
 
 placement::overview placement::make_overview(time_point now)
 {
-    std::size_t trusted_count = 0;
     for (auto& [name, server] : this->servers)
     {
         this->decay_suspicion(server, now);
-        trusted_count += server.suspected ? 0 : 1;
     }
     overview servers_now;
-    servers_now.service_fails =
-        static_cast<double>(trusted_count) <
-        min_trusted_share * static_cast<double>(this->servers.size());
+    servers_now.eligible_suspicion = this->eligible_suspicion();
+    servers_now.has_repeatable_work =
+        this->count_recent(now).repeatable_requests > 0;
     servers_now.slowness = this->slowness_by_server(now);
     this->count_free_places(servers_now, now);
     return servers_now;
@@ -365,8 +428,7 @@
     for (auto& [name, server] : this->servers)
     {
         if (server.running >= this->request_limit(server, waited_long, now) ||
-            !this->is_eligible(server, servers_now.service_fails,
-                               waited_long) ||
+            !this->is_eligible(server, servers_now, waited_long) ||
             contains_name(request.excluded_servers, name))
         {
             continue;
@@ -386,29 +448,109 @@
     return best;
 }
 
-// Returns a suspected server that should be probed with this request, or
-// nullptr. Only a request that can still be sent to another server within its
-// objective serves as a probe.
+// Returns the suspected server that has been without work longest among those
+// that should be probed with this request, or nullptr. Only a request that can
+// still be sent to another server within its objective serves as a probe. While
+// sends fail and slots are free, there are no such probes: each one that fails
+// takes a repeat from a request that needs it, and servers get work when they
+// are due for it.
 placement::server_state*
 placement::server_due_for_probe(const place_request& request, time_point now)
 {
     if (!request.repeatable || request.repeat || !this->repeats.has_room(now) ||
         request.time_to_objective <
-            this->overdue_after(request) + this->typical_duration(request))
+            this->overdue_after(request) + this->typical_duration(request) ||
+        (this->queue.empty() && this->needs_spread(now)))
     {
         return nullptr;
     }
+    server_state* longest_idle = nullptr;
     for (auto& [name, server] : this->servers)
     {
         if (server.suspected && server.running == 0 &&
             now - server.last_probe >= probe_interval &&
-            !contains_name(request.excluded_servers, name))
+            !contains_name(request.excluded_servers, name) &&
+            (longest_idle == nullptr ||
+             server.last_work < longest_idle->last_work))
+        {
+            longest_idle = &server;
+        }
+    }
+    if (longest_idle != nullptr)
+    {
+        longest_idle->last_probe = now;
+    }
+    return longest_idle;
+}
+
+// Whether sends fail while there are requests enough for all servers. Servers
+// without work then get some, because the servers in use may be the wrong ones.
+bool placement::needs_spread(time_point now) const
+{
+    const recent_counts counts = this->count_recent(now);
+    return counts.requests >= this->servers.size() &&
+           too_many_fail(counts.failures, counts.results);
+}
+
+// Whether so many servers are without work that the floor share of the servers
+// that work may be missed.
+bool placement::is_short_of_work(time_point now) const
+{
+    if (!this->needs_spread(now))
+    {
+        return false;
+    }
+    const double wanted_share =
+        1.0 - idle_part_above_floor * (1.0 - this->floor_share);
+    const work_spread current = this->spread(now);
+    return static_cast<double>(current.with_work) <
+           wanted_share * static_cast<double>(current.servers);
+}
+
+// Whether the server should get the request because it has been without work. A
+// request that may not be repeated goes to a suspected server only if the shard
+// has no repeatable work and the floor share cannot be kept without the server.
+bool placement::is_due_for_work(const server_state& server,
+                                const place_request& request,
+                                const overview& servers_now,
+                                time_point now) const
+{
+    const bool goes_first =
+        request.repeatable || !servers_now.has_repeatable_work;
+    const duration min_idle =
+        goes_first ? idle_before_work : idle_before_unrepeatable_work;
+    if (now - server.last_work < min_idle ||
+        now - server.last_failure <
+            (server.suspected ? min_failure_age_if_suspected : min_failure_age))
+    {
+        return false;
+    }
+    if (!server.suspected)
+    {
+        return server.running < this->capacity_of(server, now);
+    }
+    return server.running == 0 &&
+           (request.repeatable ||
+            (goes_first && this->is_eligible(server, servers_now, false)));
+}
+
+// Returns the server that has been without work longest among those that are
+// due for work, or nullptr.
+placement::server_state* placement::server_due_for_work(
+    const place_request& request, const overview& servers_now, time_point now)
+{
+    server_state* longest_idle = nullptr;
+    for (auto& [name, server] : this->servers)
+    {
+        if (this->is_due_for_work(server, request, servers_now, now) &&
+            !contains_name(request.excluded_servers, name) &&
+            (longest_idle == nullptr ||
+             server.last_work < longest_idle->last_work))
         {
-            server.last_probe = now;
-            return &server;
+            longest_idle = &server;
         }
     }
-    return nullptr;
+    return longest_idle;
 }
 
 // Takes a slot of the server for the request. On a server that is warming up,
@@ -429,6 +571,8 @@
     }
     active.expires_at = now + request.time_to_deadline + grant_expiry_margin;
     ++server.running;
+    server.last_work = now;
+    server.has_had_work = true;
     server.last_send_by_instance[request.grant.instance] = now;
     if (request.repeat)
     {
@@ -494,7 +638,14 @@
     if (!request.repeat)
     {
         this->repeats.count_request(now);
+        this->count_request(request, now);
     }
+    return this->decide(request, now);
+}
+
+// Decides about a request that is neither running nor waiting.
+place_answer placement::decide(const place_request& request, time_point now)
+{
     if (this->is_crashing(request.content_digest))
     {
         return place_refused{result_code::request_blocked, {}};
@@ -511,6 +662,15 @@
     {
         return this->grant(request, *server, now);
     }
+    if (!request.repeat && this->is_short_of_work(now))
+    {
+        const overview servers_now = this->make_overview(now);
+        if (server_state* server =
+                this->server_due_for_work(request, servers_now, now))
+        {
+            return this->grant(request, *server, now);
+        }
+    }
     // Waiting requests go first.
     if (this->queue.empty())
     {
@@ -579,6 +739,11 @@
     {
         --server->second.running;
     }
+    // An overdue send has been counted when it became overdue.
+    if (outcome != send_outcome::cancelled && !ended.overdue)
+    {
+        this->count_result(outcome != send_outcome::succeeded, now);
+    }
     switch (outcome)
     {
     case send_outcome::succeeded:
@@ -653,6 +818,7 @@
         if (!active.overdue && now >= active.overdue_at)
         {
             active.overdue = true;
+            this->count_result(true, now);
             this->raise_suspicion(active.server, overdue_suspicion,
                                   "answer overdue", now);
         }
@@ -732,6 +898,79 @@
     return answers;
 }
 
+// Returns the counts of the current period and drops old ones.
+placement::recent_counts& placement::counts_at(time_point now)
+{
+    const std::int64_t period = now.time_since_epoch() / count_period;
+    while (!this->recent.empty() &&
+           this->recent.front().period <= period - spread_time / count_period)
+    {
+        this->recent.pop_front();
+    }
+    if (this->recent.empty() || this->recent.back().period != period)
+    {
+        this->recent.emplace_back().period = period;
+    }
+    return this->recent.back();
+}
+
+// Sums of the counts of the last `spread_time`.
+placement::recent_counts placement::count_recent(time_point now) const
+{
+    const std::int64_t period = now.time_since_epoch() / count_period;
+    recent_counts sum;
+    for (const recent_counts& counts : this->recent)
+    {
+        if (counts.period > period - spread_time / count_period)
+        {
+            sum.requests += counts.requests;
+            sum.repeatable_requests += counts.repeatable_requests;
+            sum.results += counts.results;
+            sum.failures += counts.failures;
+        }
+    }
+    return sum;
+}
+
+void placement::count_request(const place_request& request, time_point now)
+{
+    recent_counts& counts = this->counts_at(now);
+    ++counts.requests;
+    counts.repeatable_requests += request.repeatable ? 1 : 0;
+}
+
+void placement::count_result(bool failed, time_point now)
+{
+    recent_counts& counts = this->counts_at(now);
+    ++counts.results;
+    counts.failures += failed ? 1 : 0;
+}
+
+work_spread placement::spread(time_point now) const
+{
+    const recent_counts counts = this->count_recent(now);
+    work_spread spread;
+    spread.servers = this->servers.size();
+    spread.requests = counts.requests;
+    spread.results = counts.results;
+    spread.failures = counts.failures;
+    for (const auto& [name, server] : this->servers)
+    {
+        spread.suspected += server.suspected ? 1 : 0;
+        spread.with_work +=
+            server.has_had_work && now - server.last_work < spread_time ? 1 : 0;
+    }
+    return spread;
+}
+
+bool placement::is_below_floor(const work_spread& spread) const
+{
+    return spread.requests >= spread.servers &&
+           too_many_fail(spread.failures, spread.results) &&
+           static_cast<double>(spread.with_work) <
+               this->floor_share * static_cast<double>(spread.servers);
+}
+
 double placement::load(time_point now) const
 {
     double slots = 0.0;
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <medlarbarrow/core/registry.hpp>
 #include <medlarbarrow/core/repeat_budget.hpp>
@@ -87,6 +88,22 @@
     cancelled        ///< the caller left, or another send was answered first
 };
 
+/// Smallest share of a shard's servers that get work while sends fail, unless
+/// the settings name another.
+inline constexpr double default_floor_share = 0.7;
+
+/// How the work of a shard is spread over its servers, over the last two
+/// seconds.
+struct work_spread
+{
+    std::size_t servers = 0;
+    std::size_t with_work = 0; ///< servers that were granted a request
+    std::size_t suspected = 0;
+    std::size_t requests = 0; ///< without their repeats
+    std::size_t results = 0;  ///< ended or overdue sends
+    std::size_t failures = 0; ///< of the results
+};
+
 /// A change of a server between trusted and suspected, for the log.
 struct placement_event
 {
@@ -108,7 +125,10 @@
 /// and objective, or is refused if it could not finish in time. Failed and
 /// overdue sends raise the suspicion of a server. A suspected server gets only
 /// probes, and requests that have waited long and find no other slot, unless
-/// too few servers are trusted.
+/// too few servers are trusted: the floor share of the servers stays eligible,
+/// the least suspected ones first. While sends fail, a server that has been
+/// without work gets the next request that suits, so that a server that works
+/// again is not left idle until its suspicion has decayed.
 class placement
 {
 public:
@@ -117,6 +137,9 @@
     /// Replaces the retry budget.
     void set_limits(const retry_limits& new_limits);
 
+    /// Replaces the smallest share of the servers that stay eligible.
+    void set_floor_share(double share);
+
     /// Replaces the usable servers of the shard.
     void set_servers(const std::vector<const announced_server*>& usable,
                      time_point now);
@@ -150,6 +173,13 @@
     /// Running and waiting requests per slot of the trusted servers.
     double load(time_point now) const;
 
+    /// How the work is spread over the servers, for the log and metrics.
+    work_spread spread(time_point now) const;
+
+    /// Whether too few servers got work while sends failed, although there were
+    /// requests enough for all servers.
+    bool is_below_floor(const work_spread& spread) const;
+
     std::size_t waiting() const noexcept
     {
         return this->queue.size();
@@ -169,6 +199,10 @@
         time_point suspicion_updated{};
         time_point last_probe{}; ///< last probe while suspected
         time_point last_success{};
+        time_point last_failure{};
+        /// Last grant of a request, or when the server was added.
+        time_point last_work{};
+        bool has_had_work = false;
         bool suspected = false;
         std::map<std::uint64_t, time_point> last_send_by_instance;
     };
@@ -200,6 +234,22 @@
         std::uint32_t samples = 0;
     };
 
+    /// Counts of a short time, for the shares of the last two seconds.
+    struct recent_counts
+    {
+        std::int64_t period = 0; ///< number of the counted time
+        std::size_t requests = 0;
+        std::size_t repeatable_requests = 0;
+        std::size_t results = 0; ///< ended or overdue sends
+        std::size_t failures = 0;
+    };
+
+    recent_counts& counts_at(time_point now);
+    recent_counts count_recent(time_point now) const;
+    void count_request(const place_request& request, time_point now);
+    void count_result(bool failed, time_point now);
+    place_answer decide(const place_request& request, time_point now);
+
     /// Crashes of servers by requests with one digest.
     struct crash_record
     {
@@ -219,7 +269,10 @@
     /// State of all servers at one time, for the choice of servers.
     struct overview
     {
-        bool service_fails = false; ///< most servers are suspected
+        /// Suspected servers of at most this suspicion are eligible, as too few
+        /// are trusted.
+        double eligible_suspicion = 0.0;
+        bool has_repeatable_work = false; ///< there were such requests lately
         std::map<std::string_view, double> slowness; ///< by server
         std::uint32_t free_places = 0;
         std::uint32_t free_places_after_long_wait = 0;
@@ -227,8 +280,9 @@
 
     overview make_overview(time_point now);
     void count_free_places(overview& servers, time_point now) const;
+    double eligible_suspicion() const;
     bool is_eligible(const server_state& server,
-                     bool service_fails,
+                     const overview& servers_now,
                      bool waited_long) const;
     std::uint32_t request_limit(const server_state& server,
                                 bool waited_long,
@@ -244,6 +298,15 @@
                                 time_point now);
     server_state* server_due_for_probe(const place_request& request,
                                        time_point now);
+    server_state* server_due_for_work(const place_request& request,
+                                      const overview& servers_now,
+                                      time_point now);
+    bool needs_spread(time_point now) const;
+    bool is_short_of_work(time_point now) const;
+    bool is_due_for_work(const server_state& server,
+                         const place_request& request,
+                         const overview& servers_now,
+                         time_point now) const;
     place_answer
     grant(const place_request& request, server_state& server, time_point now);
     place_refused make_refusal(result_code code, time_point now) const;
@@ -253,6 +316,8 @@
     void sort_queue(time_point now);
 
     repeat_budget repeats;
+    double floor_share = default_floor_share;
+    std::deque<recent_counts> recent; ///< newest last
     std::mt19937_64 random;
     std::map<std::string, server_state> servers;
     std::map<grant_id, active_grant> grants;
