Read floorShare and tell how work is spread over a shard's servers

Change: the adapter reads floorShare (0 to 1) and passes it to every shard. An instance that decides about a shard logs servers_without_work, at most once a second for each shard, when fewer servers than the floor share got work in 2 s while sends failed; `medlarctl trace` shows the line.

published_test, service_owners_test (new) and log_trace_test pass; their new checks need the new functions and did not compile before.

--- a/medlarbarrow/config/log_trace.cpp
+++ b/medlarbarrow/config/log_trace.cpp
@@ -25,9 +25,9 @@
     "stopping",           "settings_reloaded"};
 
 /// Events about a server or a service.
-constexpr std::array<std::string_view, 5> server_events{
-    "server_suspected", "server_trusted", "server_leaving", "server_removed",
-    "server_announced"};
+constexpr std::array<std::string_view, 6> server_events{
+    "server_suspected", "server_trusted",   "server_leaving",
+    "server_removed",   "server_announced", "servers_without_work"};
 
 /// Parses the value at the start of `rest` and removes it from `rest`.
 std::string consume_value(std::string_view& rest)
@@ -89,8 +89,8 @@
 }
 
 /// True if `line` concerns a server that the request with the end line `end`
-/// was sent to, the suspicion of a server of its service, or the instance that
-/// logged `end`.
+/// was sent to, the suspicion of a server of its service, a lack of work at its
+/// service, or the instance that logged `end`.
 bool is_relevant(const log_line& line, const log_line& end)
 {
     const std::string_view event = line.at("event");
@@ -100,10 +100,12 @@
         const bool concerns_server =
             server.size() > 1 &&
             end.at("sends").find(server) != std::string_view::npos;
-        const bool is_suspicion =
-            event == "server_suspected" || event == "server_trusted";
-        return concerns_server || (is_suspicion && !end.at("service").empty() &&
-                                   line.at("service") == end.at("service"));
+        const bool concerns_service = event == "server_suspected" ||
+                                      event == "server_trusted" ||
+                                      event == "servers_without_work";
+        return concerns_server ||
+               (concerns_service && !end.at("service").empty() &&
+                line.at("service") == end.at("service"));
     }
     return line.file == end.file && contains(instance_events, event);
 }
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -101,6 +101,7 @@
                       this->send(recipient, message);
                   }})
     {
+        this->owned_shards.set_floor_share(initial_settings.floor_share);
     }
 
     service_owners::handlers owner_handlers();
@@ -785,4 +786,9 @@
     return counters;
 }
 
+std::vector<shard_spread> fleet::spreads() const
+{
+    return this->self->owned_shards.spreads();
+}
+
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -10,6 +10,7 @@
 #include <medlarbarrow/config/settings.hpp>
 #include <medlarbarrow/core/fleet_messages.hpp>
 #include <medlarbarrow/core/registry.hpp>
+#include <medlarbarrow/net/service_owners.hpp>
 #include <memory>
 #include <optional>
 
@@ -21,6 +22,8 @@
     config::endpoint self;          ///< address and UDP port
     std::vector<std::string> seeds; ///< addresses of some instances
     core::retry_limits retry_limits;
+    /// See core::placement::set_floor_share().
+    double floor_share = core::default_floor_share;
     std::uint64_t incarnation = 0; ///< start time in Unix milliseconds
 };
 
@@ -120,6 +123,9 @@
     std::size_t live_count() const;
     fleet_counters counters() const;
 
+    /// The shards that this instance owns and has decided about lately.
+    std::vector<shard_spread> spreads() const;
+
 private:
     struct state;
     explicit fleet(std::unique_ptr<state> initial);
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -225,6 +225,7 @@
     net::fleet_settings options;
     options.self = this->settings.fleet;
     options.retry_limits = this->adapter.repeats;
+    options.floor_share = this->adapter.floor_share;
     options.incarnation = this->incarnation;
     for (const config::endpoint& seed : this->settings.seeds)
     {
@@ -447,6 +448,7 @@
                 gateway_counts.servers.connections_reused);
     add_counter("source_calls_total", source_counts.calls);
     add_counter("source_calls_failed_total", source_counts.failed_calls);
+    text += format_spreads(this->fleet_peers->spreads());
     const published_counters& published_counts =
         this->published_data.counters();
     add_counter("published_items_unreadable_total",
--- a/medlarbarrow/net/fleet_instance.hpp
+++ b/medlarbarrow/net/fleet_instance.hpp
@@ -21,6 +21,7 @@
         boost::asio::io_context&, const config::endpoint&, published&)>
         open_source;
     core::retry_limits repeats;
+    double floor_share = core::default_floor_share;
     std::chrono::milliseconds shutdown_grace{6000};
 };
 
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -11,11 +11,30 @@
 /// Period of the check for overdue requests while any request runs or waits.
 constexpr std::chrono::milliseconds tick_period{25};
 
+/// Shortest time between two lines about a shard whose servers get too little
+/// work.
+constexpr std::chrono::seconds floor_log_period{1};
+
 core::time_point now()
 {
     return core::boot_clock::now();
 }
 
+/// Label values of Prometheus escape these characters.
+std::string escape_label(std::string_view value)
+{
+    std::string escaped;
+    for (const char letter : value)
+    {
+        if (letter == '\\' || letter == '"')
+        {
+            escaped += '\\';
+        }
+        escaped += letter == '\n' ? ' ' : letter;
+    }
+    return escaped;
+}
+
 } // namespace
 
 service_owners::service_owners(boost::asio::io_context& io,
@@ -29,6 +48,15 @@
 {
 }
 
+void service_owners::set_floor_share(double share)
+{
+    this->floor_share = share;
+    for (auto& [key, owned] : this->owned_shards)
+    {
+        owned.placement.set_floor_share(share);
+    }
+}
+
 // Returns the shard with its current servers; adds it at its first request.
 service_owners::owned_shard&
 service_owners::find_or_create(const shard_key& key)
@@ -42,8 +70,9 @@
     const std::uint64_t placement_seed =
         core::hash_text(core::owner_key(key.shard), this->seed);
     const auto added = this->owned_shards.emplace(
-        key,
-        owned_shard{core::placement(this->limits_of(key), placement_seed), 0});
+        key, owned_shard{
+                 core::placement(this->limits_of(key), placement_seed), 0, {}});
+    added.first->second.placement.set_floor_share(this->floor_share);
     this->refresh_servers(key, added.first->second);
     return added.first->second;
 }
@@ -144,6 +173,48 @@
                     log::kv("running", owned.placement.running()),
                     log::kv("waiting", owned.placement.waiting())});
     }
+    this->log_missed_floor(key, owned);
+}
+
+// Logs that too few servers of the shard get work while sends fail, with the
+// numbers that tell the possible causes apart: suspicion, few requests, or an
+// instance that decides alone.
+void service_owners::log_missed_floor(const shard_key& key, owned_shard& owned)
+{
+    const core::time_point current = now();
+    if (current - owned.floor_logged_at < floor_log_period)
+    {
+        return;
+    }
+    const core::work_spread work = owned.placement.spread(current);
+    if (!owned.placement.is_below_floor(work))
+    {
+        return;
+    }
+    owned.floor_logged_at = current;
+    log::write(
+        log::level::warning, "servers_without_work",
+        {log::kv("service", key.shard.service),
+         log::kv("shard", key.shard.number),
+         log::kv("alone", key.scope == decision_scope::alone),
+         log::kv("servers", work.servers), log::kv("with_work", work.with_work),
+         log::kv("suspected", work.suspected),
+         log::kv("requests", work.requests), log::kv("results", work.results),
+         log::kv("failures", work.failures)});
+}
+
+std::vector<shard_spread> service_owners::spreads() const
+{
+    std::vector<shard_spread> spreads;
+    for (const auto& [key, owned] : this->owned_shards)
+    {
+        const core::work_spread work = owned.placement.spread(now());
+        if (key.scope == decision_scope::fleet && work.requests > 0)
+        {
+            spreads.push_back({key.shard, work});
+        }
+    }
+    return spreads;
 }
 
 void service_owners::update_all()
@@ -187,4 +258,26 @@
     this->timer.cancel();
 }
 
+std::string format_spreads(const std::vector<shard_spread>& spreads)
+{
+    std::string text;
+    const auto add_gauge =
+        [&](std::string_view name, std::size_t core::work_spread::*value)
+    {
+        text += fmt::format("# TYPE medlarbarrow_{} gauge\n", name);
+        for (const shard_spread& spread : spreads)
+        {
+            text += fmt::format(
+                "medlarbarrow_{}{{service=\"{}\",shard=\"{}\"}} {}\n", name,
+                escape_label(spread.shard.service), spread.shard.number,
+                spread.work.*value);
+        }
+    };
+    add_gauge("shard_servers", &core::work_spread::servers);
+    add_gauge("shard_servers_with_work", &core::work_spread::with_work);
+    add_gauge("shard_servers_suspected", &core::work_spread::suspected);
+    add_gauge("shard_recent_failures", &core::work_spread::failures);
+    return text;
+}
+
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -20,6 +20,16 @@
     alone  ///< only for its own requests, as no owner answers
 };
 
+/// How the work of an owned shard is spread over its servers.
+struct shard_spread
+{
+    core::shard_id shard;
+    core::work_spread work;
+};
+
+/// Metrics of these shards in the text format of Prometheus.
+std::string format_spreads(const std::vector<shard_spread>& spreads);
+
 /// Decides which server gets each request of the shards that this instance
 /// owns.
 class service_owners
@@ -47,6 +57,9 @@
                    std::uint64_t seed,
                    handlers callbacks);
 
+    /// Replaces the smallest share of a shard's servers that stay eligible.
+    void set_floor_share(double share);
+
     /// Decides about a request. If it is queued, on_answer gets the answer
     /// later.
     core::place_answer request(const core::shard_id& shard,
@@ -63,6 +76,9 @@
     /// Load of the shard as its owner, see placement::load().
     double load(const core::shard_id& shard) const;
 
+    /// The shards that this instance owns and has had requests for lately.
+    std::vector<shard_spread> spreads() const;
+
     /// Stops the periodic work.
     void close();
 
@@ -80,18 +96,21 @@
     {
         core::placement placement;
         std::uint64_t registry_version = 0; ///< of the current servers
+        core::time_point floor_logged_at{}; ///< last such line
     };
 
     owned_shard& find_or_create(const shard_key& key);
     core::retry_limits limits_of(const shard_key& key) const;
     void refresh_servers(const shard_key& key, owned_shard& owned);
     void update(const shard_key& key, owned_shard& owned);
+    void log_missed_floor(const shard_key& key, owned_shard& owned);
     void update_all();
     void start_timer();
 
     core::shard_directory& shards;
     const core::server_registry& servers;
     core::retry_limits retry_limits;
+    double floor_share = core::default_floor_share;
     std::uint64_t seed;
     handlers callbacks;
     boost::asio::steady_timer timer;
--- a/programs/medlarfleetd_main.cpp
+++ b/programs/medlarfleetd_main.cpp
@@ -44,6 +44,7 @@
         return std::unique_ptr<net::source>(std::move(*created));
     };
     adapter.repeats = bounds.repeats;
+    adapter.floor_share = bounds.floor_share;
     adapter.shutdown_grace = bounds.shutdown_grace;
     return adapter;
 }
--- a/tests/log_trace_test.cpp
+++ b/tests/log_trace_test.cpp
@@ -108,6 +108,23 @@
         (std::vector<std::string>{"entry document_in_force", "key_unknown"}));
 }
 
+// Guards against a trace of a failed request that leaves out that its service
+// had servers without work.
+TEST_F(logs_of_a_fleet, explain_a_request_of_a_service_with_idle_servers)
+{
+    this->lines.push_back(
+        line("home", "22.400",
+             "event=servers_without_work service=desk shard=0 alone=false"));
+    this->lines.push_back(
+        line("home", "22.400",
+             "event=servers_without_work service=specs shard=0 alone=false"));
+    EXPECT_EQ(this->trace("9c41"),
+              (std::vector<std::string>{
+                  "entry document_in_force", "home server_suspected",
+                  "home servers_without_work", "home server_suspected",
+                  "deadline_unreachable"}));
+}
+
 // Guards against a trace for an id that is not in the logs.
 TEST_F(logs_of_a_fleet, give_no_trace_of_an_unknown_request)
 {
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -209,13 +209,15 @@
 {
     const auto bounds = platform::parse_bounds(
         {"retryBudgetRatio=0.3", "budgetSlack=56", "budgetWindow=12s",
-         "grace=7s", "laterBound=x"});
+         "floorShare=0.6", "grace=7s", "laterBound=x"});
     ASSERT_TRUE(bounds);
     EXPECT_DOUBLE_EQ(bounds->repeats.ratio, 0.3);
     EXPECT_DOUBLE_EQ(bounds->repeats.allowance, 56);
     EXPECT_EQ(bounds->repeats.window, 12s);
+    EXPECT_DOUBLE_EQ(bounds->floor_share, 0.6);
     EXPECT_EQ(bounds->shutdown_grace, 7s);
     EXPECT_FALSE(platform::parse_bounds({"budgetSlack=many"}));
+    EXPECT_FALSE(platform::parse_bounds({"floorShare=1.2"}));
 }
 
 /// Fixture: the published items of two instances, of which the second lags
--- /dev/null
+++ b/tests/service_owners_test.cpp
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/service_owners.hpp>
+
+using namespace medlarbarrow;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t instance = 1;
+
+std::size_t count_lines(const std::string& text, std::string_view event)
+{
+    std::size_t count = 0;
+    for (auto found = text.find(event); found != std::string::npos;
+         found = text.find(event, found + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+/// The owner of a service of ten servers.
+class an_owner_of_a_service : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        for (int index = 0; index < 10; ++index)
+        {
+            core::announced_server server;
+            server.server.name = "s" + std::to_string(index);
+            server.server.slots = 2;
+            server.service = "dispatch";
+            server.started = 1;
+            this->registry.put(server);
+        }
+    }
+
+    /// Sends requests to the first four servers; each fails.
+    void fail_requests_of(net::decision_scope scope)
+    {
+        for (int count = 0; count < 20; ++count)
+        {
+            core::place_request request;
+            request.grant = {instance, ++this->number};
+            request.time_to_objective = 1s;
+            request.time_to_deadline = 2s;
+            request.excluded_servers = {"s4", "s5", "s6", "s7", "s8", "s9"};
+            this->owners.request(this->shard, scope, request);
+            this->owners.on_send_ended(
+                {this->shard, request.grant, core::send_outcome::failed, 5ms});
+        }
+    }
+
+    void run_for(std::chrono::milliseconds time)
+    {
+        this->io.restart();
+        this->io.run_for(time);
+    }
+
+    boost::asio::io_context io;
+    core::server_registry registry;
+    core::shard_directory shards{this->registry, 5};
+    core::shard_id shard{"dispatch", 0};
+    std::uint64_t number = 0;
+    net::service_owners owners{
+        this->io,
+        this->shards,
+        this->registry,
+        core::retry_limits{},
+        5,
+        {[](const core::grant_id&,
+            const core::shard_id&,
+            const core::place_answer&) {},
+         [](const core::shard_id&, const core::crash_event&) {},
+         []
+         {
+             return 1.0;
+         }}};
+};
+
+// Guards against failures at servers without work whose cause no line tells,
+// and against a line for each check of such a shard.
+TEST_F(an_owner_of_a_service, logs_servers_without_work_once_a_second)
+{
+    testing::internal::CaptureStdout();
+    this->fail_requests_of(net::decision_scope::fleet);
+    this->run_for(60ms);
+    this->fail_requests_of(net::decision_scope::fleet);
+    this->run_for(60ms);
+    const std::string text = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(count_lines(text, "event=servers_without_work"), 1U) << text;
+    for (const char* field :
+         {"service=dispatch", "shard=0", "alone=false", "servers=10",
+          "with_work=", "suspected=", "requests=", "results=", "failures="})
+    {
+        EXPECT_NE(text.find(field), std::string::npos) << field;
+    }
+}
+
+// Guards against the floor of the settings not reaching the shards.
+TEST_F(an_owner_of_a_service, uses_the_floor_share_of_the_settings)
+{
+    testing::internal::CaptureStdout();
+    this->owners.set_floor_share(0.3);
+    this->fail_requests_of(net::decision_scope::fleet);
+    this->run_for(60ms);
+    const std::string text = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(count_lines(text, "event=servers_without_work"), 0U) << text;
+}
+
+// Guards against metrics of shards that other instances own, which would count
+// the same servers several times.
+TEST_F(an_owner_of_a_service, has_metrics_of_its_own_shards_only)
+{
+    testing::internal::CaptureStdout();
+    this->fail_requests_of(net::decision_scope::alone);
+    EXPECT_TRUE(this->owners.spreads().empty());
+    this->fail_requests_of(net::decision_scope::fleet);
+    testing::internal::GetCapturedStdout();
+    const auto spreads = this->owners.spreads();
+    ASSERT_EQ(spreads.size(), 1U);
+    EXPECT_EQ(spreads.front().work.servers, 10U);
+    EXPECT_EQ(spreads.front().work.failures, 20U);
+    const std::string text =
+        net::format_spreads({{{"a \"b\"", 2}, spreads.front().work}});
+    EXPECT_NE(text.find("medlarbarrow_shard_servers{service=\"a \\\"b\\\"\","
+                        "shard=\"2\"} 10\n"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("# TYPE medlarbarrow_shard_servers_with_work gauge\n"),
+              std::string::npos);
+}
