Take no answer without the request's id for the own one

Cause: an answer without a request id was taken for the answer to the current request, also on a reused connection. A refusal that a server wrote once more without its id was believed: the request counted as not run and went to a second server while the first one ran it. A repeated success without an id went to the next caller.

Change: http_interface says whether servers always echo the id. An attempt without an own answer may have run. A request whose caller gave no id gets one. After or during a HEAD request the end of a foreign answer is unknown, so the connection is closed. Discarded answers are logged and counted.

Copies with the earlier id, at once, later or in pieces, were already told apart.

--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -445,6 +445,10 @@
                 gateway_counts.servers.connections_opened);
     add_counter("server_connections_reused_total",
                 gateway_counts.servers.connections_reused);
+    add_counter("server_answers_foreign_total",
+                gateway_counts.servers.answers_foreign);
+    add_counter("server_answers_damaged_total",
+                gateway_counts.servers.answers_damaged);
     add_counter("source_calls_total", source_counts.calls);
     add_counter("source_calls_failed_total", source_counts.failed_calls);
     const published_counters& published_counts =
--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -23,7 +23,10 @@
 struct http_interface
 {
     std::string request_id = "Medlar-Request-Id"; ///< servers may echo it
-    std::string deadline = "Medlar-Deadline-Ms";  ///< remaining milliseconds
+    /// Servers echo the request id in each answer. One without it is then never
+    /// taken for the answer to the current request.
+    bool answers_bear_request_id = false;
+    std::string deadline = "Medlar-Deadline-Ms"; ///< remaining milliseconds
     std::string not_run = "Medlar-Not-Run"; ///< "1": the request did not run
     std::string account; ///< carries the account's name; empty: not sent
     std::string expected_server; ///< carries the server's name; empty: not sent
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -7,10 +7,10 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <medlarbarrow/core/orders.hpp>
+#include <medlarbarrow/net/idle_socket.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 #include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace medlarbarrow::net
 {
@@ -37,6 +37,10 @@
 /// for this long. This detects a dead connection before most deadlines.
 constexpr milliseconds unacknowledged_limit{3000};
 
+/// A connection that has served this many requests is not reused, which bounds
+/// the ids that are kept for it.
+constexpr std::size_t max_requests_per_connection = 512;
+
 constexpr std::size_t max_answer_header_bytes = 65536;
 constexpr std::size_t min_share = 2;
 
@@ -68,16 +72,6 @@
                       ignored);
 }
 
-/// False when the server has closed the connection or has sent bytes that
-/// belong to no request. Such bytes must never be taken for the next answer.
-bool is_open_without_input(tcp::socket& socket)
-{
-    char byte = 0;
-    const ssize_t count =
-        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 /// Time until the deadline, at least 1 ms.
 milliseconds remaining(core::time_point deadline)
 {
@@ -133,9 +127,18 @@
 /// Connections to one server: the idle ones and the number of open ones.
 struct upstream::server_pool
 {
+    /// What a connection has served. An answer to any of these requests may
+    /// still arrive on it once more.
+    struct connection_history
+    {
+        std::vector<std::size_t> request_ids; ///< hashes
+        bool has_served_head = false;         ///< a request with method HEAD
+    };
+
     struct idle_connection
     {
         tcp::socket socket;
+        connection_history history;
         core::time_point since{};
         core::duration age_limit{};
     };
@@ -251,6 +254,32 @@
         }
     }
 
+    /// Discards the current answer and logs why. Its connection is not reused.
+    void discard(std::uint64_t& counter, std::string_view reason)
+    {
+        ++counter;
+        this->answer_discarded = true;
+        const unsigned status = this->parser->is_header_done()
+                                    ? this->parser->get().result_int()
+                                    : 0;
+        log::write(log::level::warning, "server_answer_discarded",
+                   {log::kv("id", this->request_id),
+                    log::kv("service", this->service),
+                    log::kv("server", this->server), log::kv("status", status),
+                    log::kv("reason", reason)});
+    }
+
+    /// Ends the attempt because the answer is damaged: the request may have
+    /// run.
+    void reject_damaged(std::string_view reason)
+    {
+        if (!this->stopped)
+        {
+            this->discard(this->counts->answers_damaged, reason);
+            this->stop(stop_cause::bad_answer);
+        }
+    }
+
     void disarm()
     {
         this->watchdog_deadline = {};
@@ -316,7 +345,11 @@
     bool sender_ended = true;
     bool request_complete = false; ///< all request bytes are written
 
+    std::string service;
+    std::string server;
     std::string request_id;
+    server_pool::connection_history history;
+    bool answer_discarded = false; ///< the connection must not be reused
     core::time_point send_start{};
     bool answer_complete = false;
     bool reusable = false;
@@ -364,15 +397,22 @@
 {
 }
 
-// False for an answer that carries the id of another request. Servers need not
-// echo the id; those that do are protected against answers that reach the wrong
-// request.
+// False for an answer that carries the id of another request, and for one
+// without an id if servers always echo it: on a reused connection it may belong
+// to an earlier request, on a new one nothing shows that it is complete.
 bool upstream::is_own_answer(const exchange& current) const
 {
     const http::response_header<>& header = current.parser->get().base();
-    const auto echoed_id = header.find(this->names.request_id);
-    return echoed_id == header.end() ||
-           echoed_id->value() == current.request_id;
+    const auto [first, last] = header.equal_range(this->names.request_id);
+    if (first == last)
+    {
+        return !this->names.answers_bear_request_id;
+    }
+    return std::all_of(first, last,
+                       [&current](const auto& line)
+                       {
+                           return line.value() == current.request_id;
+                       });
 }
 
 // True for an answer that ends with its connection. Unless the interface allows
@@ -482,6 +522,7 @@
             is_open_without_input(candidate.socket))
         {
             current.socket = std::move(candidate.socket);
+            current.history = std::move(candidate.history);
             current.holds_slot = true;
             ++this->counts->connections_reused;
             return true;
@@ -572,8 +613,8 @@
 {
     server_pool& pool = *current.pool;
     current.holds_slot = false;
-    pool.idle.push_back({std::move(current.socket), core::boot_clock::now(),
-                         current.age_limit});
+    pool.idle.push_back({std::move(current.socket), std::move(current.history),
+                         core::boot_clock::now(), current.age_limit});
     pool.connection_available.notify();
 }
 
@@ -631,12 +672,26 @@
     current->changed.notify();
 }
 
-// Reads and discards the body of an answer to another request. False when its
-// end cannot be found.
-asio::awaitable<bool> upstream::discard_answer(exchange& current)
+// Reads and discards an answer that is not the one to this request. False when
+// the own answer cannot follow, or when the end of this one cannot be found:
+// whether it has a body depends on its own request, of which only the id may be
+// known. After it the connection is not reused.
+asio::awaitable<bool> upstream::discard_answer(exchange& current,
+                                               const checked_request& request)
 {
     const http::response_header<>& header = current.parser->get().base();
-    if (!has_unambiguous_framing(header))
+    if (header.count(this->names.request_id) == 0 &&
+        current.history.request_ids.empty())
+    {
+        current.reject_damaged("no request id");
+        co_return false;
+    }
+    current.discard(current.counts->answers_foreign,
+                    header.count(this->names.request_id) == 0
+                        ? "no request id"
+                        : "id of another request");
+    if (!has_unambiguous_framing(header) || request.method == "HEAD" ||
+        current.history.has_served_head)
     {
         co_return false;
     }
@@ -683,7 +738,7 @@
         {
             break;
         }
-        const bool discarded = co_await this->discard_answer(current);
+        const bool discarded = co_await this->discard_answer(current, request);
         if (!discarded)
         {
             current.stop(exchange::stop_cause::bad_answer);
@@ -692,6 +747,10 @@
     }
     if (failure)
     {
+        if (current.parser->got_some() || current.input.size() > 0)
+        {
+            current.reject_damaged(failure.message());
+        }
         co_return false;
     }
     const http::response_header<>& header = current.parser->get().base();
@@ -701,11 +760,11 @@
     const bool has_body =
         request.method != "HEAD" && status != 204 && status != 304;
     // Without clear framing, an answer that ends early would look complete.
-    if (status < 200 || !this->is_own_answer(current) ||
-        (has_body && !has_unambiguous_framing(header) &&
-         !this->ends_with_connection(current)))
+    const bool has_framing = !has_body || has_unambiguous_framing(header) ||
+                             this->ends_with_connection(current);
+    if (status < 200 || !this->is_own_answer(current) || !has_framing)
     {
-        current.stop(exchange::stop_cause::bad_answer);
+        current.reject_damaged("no framing or no final answer");
         co_return false;
     }
     current.not_run = this->states_not_run(header);
@@ -738,7 +797,7 @@
     {
         if (!current.decode())
         {
-            current.stop(exchange::stop_cause::bad_answer);
+            current.reject_damaged("malformed body");
         }
         const bool enough = current.parser->is_done() ||
                             current.filled == current.part_buffer.size() ||
@@ -764,6 +823,7 @@
         }
         if (failure)
         {
+            current.reject_damaged(failure.message());
             co_return false;
         }
     }
@@ -837,9 +897,10 @@
         co_return;
     }
     current->answer_complete = current->parser->is_done();
-    current->reusable = current->answer_complete &&
-                        current->parser->get().keep_alive() &&
-                        current->input.size() == 0;
+    current->reusable =
+        current->answer_complete && current->parser->get().keep_alive() &&
+        current->input.size() == 0 && !current->answer_discarded &&
+        current->history.request_ids.size() < max_requests_per_connection;
 }
 
 // Stops the coroutine that sends the request and waits for its end. If the
@@ -933,15 +994,17 @@
         current->stop(exchange::stop_cause::caller_gone);
     }
     exchange::arm(current, step.deadline);
+    current->service = step.service;
+    current->server = step.server.name;
+    current->request_id = request.id;
+    if (request.id.empty())
+    {
+        current->request_id = trace::span_id_text(trace::make_span(span));
+    }
     const bool acquired = co_await this->acquire(step, *current);
     if (acquired)
     {
         current->send_start = core::boot_clock::now();
-        current->request_id = request.id;
-        if (request.id.empty() && !this->names.forward_request_id)
-        {
-            current->request_id = trace::span_id_text(trace::make_span(span));
-        }
         current->sender_ended = false;
         asio::co_spawn(
             this->executor,
@@ -951,6 +1014,9 @@
                 request, caller.shared_from_this()),
             asio::detached);
         co_await this->read_answer(current, step, request, caller);
+        current->history.request_ids.push_back(
+            std::hash<std::string>()(current->request_id));
+        current->history.has_served_head |= request.method == "HEAD";
         co_await this->stop_sender(*current, caller);
     }
     current->disarm();
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -77,6 +77,10 @@
     std::uint64_t connections_open = 0; ///< at present, including idle
     std::uint64_t bytes_to_servers = 0;
     std::uint64_t bytes_from_servers = 0; ///< bodies only
+    /// Answers discarded because they belong to no running request.
+    std::uint64_t answers_foreign = 0;
+    /// Answers that broke off, were malformed or lacked what each must bear.
+    std::uint64_t answers_damaged = 0;
 };
 
 /// Time limits that depend on the servers.
@@ -152,7 +156,8 @@
                                       caller_channel& caller);
     static core::attempt_result classify(exchange& current, bool keep_answer);
 
-    asio::awaitable<bool> discard_answer(exchange& current);
+    asio::awaitable<bool> discard_answer(exchange& current,
+                                         const checked_request& request);
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
--- a/standin/scripted_server.cpp
+++ b/standin/scripted_server.cpp
@@ -16,6 +16,12 @@
 
 constexpr std::size_t body_repeats = 40;
 constexpr std::string_view stray_id = "an-earlier-request";
+constexpr std::string_view chunked_header = "Transfer-Encoding: chunked\r\n";
+constexpr std::string_view close_header = "Connection: close\r\n";
+
+/// Time between the segments of a response, long enough that they are read
+/// separately.
+constexpr std::chrono::milliseconds segment_gap{2};
 
 bool write(tcp::socket& socket, std::string_view text)
 {
@@ -32,6 +38,37 @@
     socket.close(ignored);
 }
 
+/// True for a response that states that the request has not run.
+bool is_refusal(response_kind kind)
+{
+    return kind == response_kind::shed ||
+           (kind >= response_kind::shed_twice &&
+            kind <= response_kind::shed_again_in_pieces);
+}
+
+std::vector<std::string> split_into_pieces(std::string_view text)
+{
+    constexpr std::size_t piece = 17;
+    std::vector<std::string> pieces;
+    for (std::size_t position = 0; position < text.size(); position += piece)
+    {
+        pieces.emplace_back(text.substr(position, piece));
+    }
+    return pieces;
+}
+
+// Writes each part in a segment of its own.
+bool write_parts(tcp::socket& socket, const std::vector<std::string>& parts)
+{
+    bool open = true;
+    for (const std::string& part : parts)
+    {
+        open = open && write(socket, part);
+        std::this_thread::sleep_for(segment_gap);
+    }
+    return open;
+}
+
 std::string header_value(std::string_view request, const std::string& name)
 {
     const std::size_t line_start = request.find(name + ": ");
@@ -78,6 +115,12 @@
     this->position = 0;
 }
 
+std::vector<std::string> scripted_server::run_ids() const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->executed_ids;
+}
+
 std::uint16_t scripted_server::port() const noexcept
 {
     return this->listen_port;
@@ -128,7 +171,10 @@
 void scripted_server::serve_connection(tcp::socket& socket)
 {
     std::string input;
+    std::vector<std::string> repeated; ///< written before the next response
     bool open = true;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
     while (open)
     {
         error_code failure;
@@ -141,7 +187,15 @@
         const std::string id =
             header_value(input.substr(0, length), this->names.request_id);
         input.erase(0, length);
-        open = this->answer(socket, this->next_manner(), id);
+        const response_kind manner = this->next_manner();
+        if (!is_refusal(manner))
+        {
+            const std::lock_guard guard(this->mutex);
+            this->executed_ids.push_back(id);
+        }
+        write_parts(socket, repeated);
+        repeated.clear();
+        open = this->answer(socket, manner, id, repeated);
     }
 }
 
@@ -149,8 +203,83 @@
                                            unsigned status,
                                            std::string_view framing) const
 {
-    return fmt::format("HTTP/1.1 {} Status\r\n{}: {}\r\n{}\r\n", status,
-                       this->names.request_id, id, framing);
+    std::string head = fmt::format("HTTP/1.1 {} Status\r\n", status);
+    if (!id.empty())
+    {
+        head += fmt::format("{}: {}\r\n", this->names.request_id, id);
+    }
+    head += framing;
+    if (status < 300 && !this->names.signature.empty())
+    {
+        head += this->names.signature + ": valid\r\n";
+    }
+    return head + "\r\n";
+}
+
+std::string scripted_server::refusal(const std::string& id) const
+{
+    return this->response_head(
+        id, 503,
+        fmt::format("{}: 1\r\nContent-Length: 0\r\n", this->names.not_run));
+}
+
+std::string scripted_server::response_text(response_kind kind,
+                                           const std::string& id) const
+{
+    const std::string body = body_of(id);
+    switch (kind)
+    {
+    case response_kind::chunked:
+        return this->response_head(id, 200, chunked_header) +
+               fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+    case response_kind::until_close:
+        return this->response_head(id, 200, close_header) + body;
+    case response_kind::after_continue:
+        return "HTTP/1.1 100 Continue\r\n\r\n" +
+               this->complete_response(id, 200);
+    case response_kind::shed:
+        return this->refusal(id);
+    case response_kind::failure:
+        return this->complete_response(id, 500);
+    default:
+        return this->complete_response(id, 200);
+    }
+}
+
+// Writes a response, and the same one a second time: at once, or as `repeated`
+// before the next response.
+bool scripted_server::answer_repeatedly(tcp::socket& socket,
+                                        response_kind manner,
+                                        const std::string& id,
+                                        std::vector<std::string>& repeated)
+{
+    const std::string refused = this->refusal(id);
+    switch (manner)
+    {
+    case response_kind::shed_twice:
+        return write(socket, refused + refused);
+    case response_kind::shed_again_soon:
+    {
+        const bool written = write(socket, refused);
+        std::this_thread::sleep_for(segment_gap);
+        return written && write(socket, refused);
+    }
+    case response_kind::shed_again_without_id:
+        repeated = {this->refusal("")};
+        return write(socket, refused);
+    case response_kind::success_again_without_id:
+        repeated = {this->response_head("", 200,
+                                        fmt::format("Content-Length: {}\r\n",
+                                                    body_of(id).size())) +
+                    body_of(id)};
+        return write(socket, this->complete_response(id, 200));
+    case response_kind::shed_again_in_pieces:
+        repeated = split_into_pieces(refused);
+        return write(socket, refused);
+    default:
+        repeated = {refused};
+        return write(socket, refused);
+    }
 }
 
 std::string scripted_server::complete_response(const std::string& id,
@@ -165,11 +294,9 @@
 // Writes one response; false if the connection was closed or writing failed.
 bool scripted_server::answer(tcp::socket& socket,
                              response_kind manner,
-                             const std::string& id)
+                             const std::string& id,
+                             std::vector<std::string>& repeated)
 {
-    constexpr std::string_view chunked_header =
-        "Transfer-Encoding: chunked\r\n";
-    constexpr std::string_view close_header = "Connection: close\r\n";
     const std::string body = body_of(id);
     const std::string half_body = body.substr(0, body.size() / 2);
     const std::string chunk = fmt::format("{:x}\r\n{}\r\n", body.size(), body);
@@ -181,8 +308,7 @@
     case response_kind::with_length:
         return write(socket, valid);
     case response_kind::chunked:
-        return write(socket, this->response_head(id, 200, chunked_header) +
-                                 chunk + "0\r\n\r\n");
+        return write(socket, this->response_text(manner, id));
     case response_kind::in_pieces:
     {
         constexpr std::size_t piece = 61;
@@ -204,10 +330,7 @@
     case response_kind::failure:
         return write(socket, this->complete_response(id, 500));
     case response_kind::shed:
-        return write(socket, this->response_head(
-                                 id, 503,
-                                 fmt::format("{}: 1\r\nContent-Length: 0\r\n",
-                                             this->names.not_run)));
+        return write(socket, this->refusal(id));
     case response_kind::cut_length:
         write(socket, valid.substr(0, valid.size() - half_body.size()));
         return false;
@@ -239,6 +362,25 @@
         return false;
     case response_kind::silence_then_end:
         return false;
+    case response_kind::without_id:
+        write(socket,
+              this->response_head(
+                  "", 200, fmt::format("Content-Length: {}\r\n", body.size())) +
+                  body);
+        return false;
+    case response_kind::failure_without_id:
+        write(socket,
+              this->response_head(
+                  "", 500, fmt::format("Content-Length: {}\r\n", body.size())) +
+                  body);
+        return false;
+    case response_kind::shed_twice:
+    case response_kind::shed_again_soon:
+    case response_kind::shed_again_later:
+    case response_kind::shed_again_without_id:
+    case response_kind::shed_again_in_pieces:
+    case response_kind::success_again_without_id:
+        return this->answer_repeatedly(socket, manner, id, repeated);
     default:
         return this->answer_without_end(socket, manner, id);
     }
@@ -250,8 +392,6 @@
                                          response_kind manner,
                                          const std::string& id)
 {
-    constexpr std::string_view chunked_header =
-        "Transfer-Encoding: chunked\r\n";
     constexpr std::size_t repeated_bytes = 4096;
     const std::string filler(repeated_bytes, 'a');
     const std::string chunk =
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -21,21 +21,29 @@
 {
     with_length,
     chunked,
-    in_pieces,         ///< a few bytes at a time
-    until_close,       ///< without a length: ends when the connection closes
-    after_continue,    ///< preceded by a 100 Continue response
-    failure,           ///< status 500
-    shed,              ///< status 503 that says the request has not run
-    cut_length,        ///< closes before Content-Length bytes were sent
-    cut_chunks,        ///< closes before the last chunk
-    reset_until_close, ///< without a length, and a reset in the middle
-    twice,             ///< sends the complete response twice
-    with_stray,        ///< followed by a response to another request
-    stray_first,       ///< preceded by a response to another request
-    two_lengths,       ///< two different Content-Length headers
-    noise,             ///< bytes that are not an HTTP response
-    silence_then_end,  ///< closes without a response
-    last = silence_then_end, ///< of those that end by themselves
+    in_pieces,          ///< a few bytes at a time
+    until_close,        ///< without a length: ends when the connection closes
+    after_continue,     ///< preceded by a 100 Continue response
+    failure,            ///< status 500
+    shed,               ///< status 503 that says the request has not run
+    cut_length,         ///< closes before Content-Length bytes were sent
+    cut_chunks,         ///< closes before the last chunk
+    reset_until_close,  ///< without a length, and a reset in the middle
+    twice,              ///< sends the complete response twice
+    with_stray,         ///< followed by a response to another request
+    stray_first,        ///< preceded by a response to another request
+    two_lengths,        ///< two different Content-Length headers
+    noise,              ///< bytes that are not an HTTP response
+    silence_then_end,   ///< closes without a response
+    without_id,         ///< a success without a request id, then closes
+    failure_without_id, ///< status 500 without a request id, then closes
+    shed_twice,         ///< a refusal and at once the same refusal again
+    shed_again_soon,    ///< a refusal, and again before the next request
+    shed_again_later,   ///< a refusal, and again before the next response
+    shed_again_without_id,    ///< as shed_again_later, the copy without id
+    shed_again_in_pieces,     ///< as shed_again_later, in several segments
+    success_again_without_id, ///< a success, and again before the next response
+    last = success_again_without_id, ///< of those that end by themselves
     // The others send bytes until the client closes the connection.
     endless_line,       ///< a first line without an end
     endless_fields,     ///< header fields without an end
@@ -53,6 +61,7 @@
 {
     std::string request_id;
     std::string not_run;
+    std::string signature; ///< of every success; empty: none is sent
 };
 
 /// Serves each connection on its own thread. The destructor waits for these
@@ -68,6 +77,14 @@
     /// Replaces the script. Requests after its end are answered with_length.
     void play(std::vector<response_kind> new_script);
 
+    /// Ids of the requests that this server has run, in order. A request that
+    /// it has refused as not run is not among them.
+    std::vector<std::string> run_ids() const;
+
+    /// Complete response to a request with this id, as written to the
+    /// connection. For kinds that consist of one valid response.
+    std::string response_text(response_kind kind, const std::string& id) const;
+
     std::uint16_t port() const noexcept;
 
     /// Body of the response to a request with this id.
@@ -77,9 +94,14 @@
     void serve();
     void serve_connection(boost::asio::ip::tcp::socket& socket);
     response_kind next_manner();
+    bool answer_repeatedly(boost::asio::ip::tcp::socket& socket,
+                           response_kind manner,
+                           const std::string& id,
+                           std::vector<std::string>& repeated);
     bool answer(boost::asio::ip::tcp::socket& socket,
                 response_kind manner,
-                const std::string& id);
+                const std::string& id,
+                std::vector<std::string>& repeated);
     bool answer_without_end(boost::asio::ip::tcp::socket& socket,
                             response_kind manner,
                             const std::string& id);
@@ -87,14 +109,16 @@
                               unsigned status,
                               std::string_view framing) const;
     std::string complete_response(const std::string& id, unsigned status) const;
+    std::string refusal(const std::string& id) const;
 
     scripted_header_names names;
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor;
     std::uint16_t listen_port = 0;
-    std::mutex mutex;
+    mutable std::mutex mutex; ///< guards the members below
     std::vector<response_kind> script;
     std::size_t position = 0;
+    std::vector<std::string> executed_ids;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -1,5 +1,6 @@
 #include "recording_caller.hpp"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -8,6 +9,7 @@
 #include <platform/names.hpp>
 #include <rapidcheck/gtest.h>
 #include <standin/scripted_server.hpp>
+#include <thread>
 
 using namespace medlarbarrow;
 using core::attempt_end;
@@ -22,6 +24,9 @@
 /// Far beyond the deadline of every attempt.
 constexpr std::chrono::seconds test_timeout{60};
 
+/// Idle time after which a connection is certainly reused.
+constexpr std::chrono::milliseconds settled{4};
+
 /// Sends requests one after the other over persistent connections.
 class sender
 {
@@ -84,13 +89,22 @@
 {
     return manner <= response_kind::failure || manner == response_kind::twice ||
            manner == response_kind::stray_first ||
-           manner == response_kind::with_stray;
+           manner == response_kind::with_stray ||
+           manner == response_kind::success_again_without_id;
+}
+
+/// True when the server answers that it has not run the request.
+bool is_refusal(response_kind manner)
+{
+    return manner == response_kind::shed ||
+           (manner >= response_kind::shed_twice &&
+            manner <= response_kind::shed_again_in_pieces);
 }
 
 standin::scripted_header_names names()
 {
     const net::http_interface interface = platform::http_interface_names();
-    return {interface.request_id, interface.not_run};
+    return {interface.request_id, interface.not_run, {}};
 }
 
 /// Checks the result of one request. Any request may fail, since an earlier
@@ -112,7 +126,7 @@
     }
     if (result.end == attempt_end::refused_not_run)
     {
-        RC_ASSERT(manner == response_kind::shed);
+        RC_ASSERT(is_refusal(manner));
     }
     // The server reads every request that is sent.
     RC_ASSERT(result.end != attempt_end::not_sent);
@@ -146,6 +160,79 @@
     }
 }
 
+namespace
+{
+
+/// Responses that the server writes again on the same connection.
+constexpr std::array repeated_responses{response_kind::shed_twice,
+                                        response_kind::shed_again_soon,
+                                        response_kind::shed_again_later,
+                                        response_kind::shed_again_without_id,
+                                        response_kind::shed_again_in_pieces,
+                                        response_kind::success_again_without_id,
+                                        response_kind::twice,
+                                        response_kind::with_stray};
+
+/// A server, and a client that keeps one connection to it open and always
+/// reuses it.
+class a_kept_connection : public ::testing::TestWithParam<response_kind>
+{
+protected:
+    /// Sends a request that gets the repeated response, then one that the
+    /// server runs and answers. The second must be told neither that it did not
+    /// run nor the first one's answer.
+    void send_both(const std::string& first_id, const std::string& second_id)
+    {
+        const auto first = this->client.send(first_id);
+        EXPECT_EQ(first.end, is_refusal(GetParam())
+                                 ? attempt_end::refused_not_run
+                                 : attempt_end::answered);
+        std::this_thread::sleep_for(settled);
+        const auto second = this->client.send(second_id);
+        EXPECT_EQ(second.end, attempt_end::answered);
+        EXPECT_EQ(second.status, 500U);
+        EXPECT_EQ(this->client.caller->body,
+                  standin::scripted_server::body_of(second_id));
+        EXPECT_EQ(this->server.run_ids().back(), second_id);
+    }
+
+    standin::scripted_server server{names()};
+    sender client{this->server.port()};
+};
+
+} // namespace
+
+// Guards against a refusal or success that a server writes twice and that is
+// taken for the answer to the next request: its caller would be told that it
+// did not run although it has, or get another request's answer.
+TEST_P(a_kept_connection, gives_no_answer_of_an_earlier_request_to_the_next)
+{
+    this->server.play({GetParam(), response_kind::failure});
+    this->send_both("request-1", "request-2");
+}
+
+INSTANTIATE_TEST_SUITE_P(of_a_server_that_repeats,
+                         a_kept_connection,
+                         ::testing::ValuesIn(repeated_responses));
+
+// Guards against an answer without the request's id on a connection that served
+// nothing before: nothing shows that it belongs to the request.
+TEST(damaged_answers, are_neither_an_answer_nor_a_refusal)
+{
+    for (const response_kind manner :
+         {response_kind::without_id, response_kind::failure_without_id})
+    {
+        standin::scripted_server server(names());
+        server.play({manner});
+        sender client(server.port());
+        const auto result = client.send("request-1");
+        EXPECT_EQ(result.end, attempt_end::closed_early)
+            << "manner " << static_cast<int>(manner);
+        EXPECT_EQ(client.caller->status, 0U);
+        EXPECT_EQ(client.send("request-2").end, attempt_end::answered);
+    }
+}
+
 // Guards against the property above holding only because no request is ever
 // answered.
 TEST(answers_of_a_correct_server, all_arrive)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -4,9 +4,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
 #include <medlarbarrow/net/gateway.hpp>
+#include <platform/names.hpp>
+#include <random>
+#include <standin/scripted_server.hpp>
 #include <standin/server.hpp>
 #include <thread>
 
@@ -52,7 +56,8 @@
                   const std::string& address,
                   std::uint16_t port,
                   const std::string& seed,
-                  const core::server_registry& servers)
+                  const core::server_registry& servers,
+                  const net::http_interface& names)
     {
         net::fleet_settings fleet_options;
         fleet_options.self = {address, port};
@@ -80,7 +85,7 @@
         net::gateway_settings settings;
         settings.caller_endpoint = {address, 0};
         settings.data_centre = "suva";
-        settings.names.account = "Medlar-Account";
+        settings.names = names;
         this->entry =
             net::gateway::create(io, settings, *this->peers, servers).value();
         EXPECT_FALSE(this->entry->start());
@@ -106,6 +111,11 @@
 class a_gateway_fleet : public testing::Test
 {
 protected:
+    a_gateway_fleet()
+    {
+        this->names.account = "Medlar-Account";
+    }
+
     void SetUp() override
     {
         this->add_servers(4);
@@ -125,7 +135,8 @@
         {
             const std::string address = "127.0.7." + std::to_string(index + 1);
             this->fleet.push_back(std::make_unique<test_instance>(
-                *this->io, address, port, "127.0.7.1", this->servers));
+                *this->io, address, port, "127.0.7.1", this->servers,
+                this->names));
             this->fleet.back()->entry->apply_document(this->document);
         }
         this->thread = std::thread(
@@ -153,7 +164,7 @@
         }
     }
 
-    void add_servers(unsigned count)
+    virtual void add_servers(unsigned count)
     {
         for (unsigned index = 0; index < count; ++index)
         {
@@ -161,19 +172,24 @@
             options.name = "s" + std::to_string(index);
             this->started_servers.push_back(
                 std::make_unique<standin::server>(options));
-            core::announced_server announced;
-            announced.service = "desk";
-            announced.started = 1;
-            announced.server.name = options.name;
-            announced.server.address = "127.0.0.1";
-            announced.server.port = this->started_servers.back()->port();
-            announced.server.data_centre = "suva";
-            announced.server.slots = 3;
-            announced.server.connections = 360;
-            this->servers.put(announced);
+            this->announce(options.name, this->started_servers.back()->port());
         }
     }
 
+    void announce(const std::string& name, std::uint16_t port)
+    {
+        core::announced_server announced;
+        announced.service = "desk";
+        announced.started = 1;
+        announced.server.name = name;
+        announced.server.address = "127.0.0.1";
+        announced.server.port = port;
+        announced.server.data_centre = "suva";
+        announced.server.slots = 3;
+        announced.server.connections = 360;
+        this->servers.put(announced);
+    }
+
     /// Runs `read` on the thread of the fleet and returns its result.
     template <class Read>
     auto on_thread(Read read)
@@ -223,7 +239,8 @@
     test_answer call(std::size_t instance,
                      const std::string& target,
                      const std::string& key = test_key,
-                     const std::string& body = "")
+                     const std::string& body = "",
+                     const std::string& id = "")
     {
         boost::asio::io_context caller_io;
         tcp::socket socket(caller_io);
@@ -239,7 +256,12 @@
         request.set(http::field::host, "a.example");
         if (!key.empty())
         {
-            request.set(http::field::authorization, "Bearer " + key);
+            request.set(http::field::authorization,
+                        this->names.key_scheme + " " + key);
+        }
+        if (!id.empty())
+        {
+            request.set(this->names.request_id, id);
         }
         request.body() = body;
         request.prepare_payload();
@@ -263,6 +285,7 @@
     }
 
     double rate = 1000.0;
+    net::http_interface names;
     std::unique_ptr<boost::asio::io_context> io =
         std::make_unique<boost::asio::io_context>(1);
     core::server_registry servers;
@@ -454,3 +477,86 @@
     EXPECT_GE(served, 10 * (elapsed_seconds() - 0.5));
     EXPECT_GT(refused, 0U);
 }
+
+/// Fixture: the interface of the users' platform, and servers that answer as
+/// their scripts say.
+class a_gateway_fleet_of_faulty_servers : public a_gateway_fleet
+{
+protected:
+    a_gateway_fleet_of_faulty_servers()
+    {
+        this->names = platform::http_interface_names();
+    }
+
+    void add_servers(unsigned count) override
+    {
+        for (unsigned index = 0; index < count; ++index)
+        {
+            this->scripted.push_back(std::make_unique<standin::scripted_server>(
+                standin::scripted_header_names{this->names.request_id,
+                                               this->names.not_run,
+                                               std::string()}));
+            this->announce("s" + std::to_string(index),
+                           this->scripted.back()->port());
+        }
+    }
+
+    /// Number of times that the servers have run the request.
+    std::size_t runs_of(const std::string& id) const
+    {
+        std::size_t count = 0;
+        for (const auto& server : this->scripted)
+        {
+            const std::vector<std::string> ids = server->run_ids();
+            count += static_cast<std::size_t>(
+                std::count(ids.begin(), ids.end(), id));
+        }
+        return count;
+    }
+
+    /// Checks what a caller was told about a request.
+    void check(const test_answer& answer, const std::string& id)
+    {
+        const std::string told = fmt::format("{} status {}, run {} times", id,
+                                             answer.status, this->runs_of(id));
+        if (answer.status == 200)
+        {
+            EXPECT_EQ(answer.body, standin::scripted_server::body_of(id))
+                << told;
+            EXPECT_FALSE(answer.cut) << told;
+        }
+        if (answer.status == 503 || answer.status == 429 ||
+            answer.status == 421 || answer.status == 408)
+        {
+            EXPECT_EQ(this->runs_of(id), 0U) << told;
+        }
+    }
+
+    std::vector<std::unique_ptr<standin::scripted_server>> scripted;
+};
+
+// Guards against an order that runs at two servers, or whose caller is told
+// that it did not run, because a server repeats the refusal of an earlier
+// request, with that request's id, without an id or in parts.
+TEST_F(a_gateway_fleet_of_faulty_servers, believes_no_repeated_refusal)
+{
+    using standin::response_kind;
+    for (const response_kind repeated :
+         {response_kind::shed_again_later, response_kind::shed_again_without_id,
+          response_kind::shed_again_in_pieces})
+    {
+        for (const auto& server : this->scripted)
+        {
+            server->play({repeated});
+        }
+        // Each of the first requests is refused by all servers.
+        for (int count = 0; count < 6; ++count)
+        {
+            const std::string id =
+                fmt::format("order-{}-{}", static_cast<int>(repeated), count);
+            const auto answer = this->call(0, "/order/x", test_key, "", id);
+            this->check(answer, id);
+            EXPECT_LE(this->runs_of(id), 1U) << id;
+        }
+    }
+}
