Never reuse a connection for an id that it has served

Cause: callers choose request ids, and one that was refused may send the request again with the same id. Over the connection that had carried the refusal, a copy of it was taken for the answer to the new request, which the server was running: the id cannot tell the two apart.

Change: a connection remembers the ids (hashes) of the requests that it has served and is not taken for a request with one of them.

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -133,6 +133,14 @@
     {
         std::vector<std::size_t> request_ids; ///< hashes
         bool has_served_head = false;         ///< a request with method HEAD
+
+        /// An answer to an earlier request with the same id could not be told
+        /// from the answer to this one.
+        bool contains(std::size_t id) const
+        {
+            return std::find(this->request_ids.begin(), this->request_ids.end(),
+                             id) != this->request_ids.end();
+        }
     };
 
     struct idle_connection
@@ -495,26 +503,36 @@
 
 // Takes the most recently used connection that has been idle for settle_time,
 // so that surplus connections age and are closed. When the share of connections
-// is used up, takes the least recently used one even before that.
+// is used up, takes the least recently used one even before that. Never takes
+// one that has served a request with the same id.
 bool upstream::take_idle(const core::step_send& step, exchange& current)
 {
     server_pool& pool = *current.pool;
+    const std::size_t id = std::hash<std::string>()(current.request_id);
     while (!pool.idle.empty())
     {
         const core::time_point now = core::boot_clock::now();
-        auto reusable =
-            std::find_if(pool.idle.rbegin(), pool.idle.rend(),
-                         [now](const server_pool::idle_connection& candidate)
-                         {
-                             return now - candidate.since >= settle_time;
-                         });
+        auto reusable = std::find_if(
+            pool.idle.rbegin(), pool.idle.rend(),
+            [now, id](const server_pool::idle_connection& candidate)
+            {
+                return now - candidate.since >= settle_time &&
+                       !candidate.history.contains(id);
+            });
         if (reusable == pool.idle.rend())
         {
-            if (pool.open < this->share_of(step.server))
+            const auto oldest =
+                std::find_if(pool.idle.begin(), pool.idle.end(),
+                             [id](const server_pool::idle_connection& candidate)
+                             {
+                                 return !candidate.history.contains(id);
+                             });
+            if (pool.open < this->share_of(step.server) ||
+                oldest == pool.idle.end())
             {
                 return false;
             }
-            --reusable;
+            reusable = std::make_reverse_iterator(std::next(oldest));
         }
         server_pool::idle_connection candidate = std::move(*reusable);
         pool.idle.erase(std::next(reusable).base());
--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -150,12 +150,15 @@
             {
                 return static_cast<response_kind>(number);
             }));
+    // Callers may send several requests with the same id.
+    const bool same_id = *rc::gen::arbitrary<bool>();
     server.play(script);
     sender client(server.port());
     std::size_t number = 0;
     for (const response_kind manner : script)
     {
-        const std::string id = fmt::format("request-{}", ++number);
+        number += same_id ? 0 : 1;
+        const std::string id = fmt::format("request-{}", number);
         check(client, client.send(id), id, manner);
     }
 }
@@ -211,6 +214,14 @@
     this->send_both("request-1", "request-2");
 }
 
+// Guards against the same for a caller that sends a refused request again with
+// the same id: the id cannot tell the answers apart.
+TEST_P(a_kept_connection, gives_no_earlier_answer_to_a_request_of_the_same_id)
+{
+    this->server.play({GetParam(), response_kind::failure});
+    this->send_both("request-1", "request-1");
+}
+
 INSTANTIATE_TEST_SUITE_P(of_a_server_that_repeats,
                          a_kept_connection,
                          ::testing::ValuesIn(repeated_responses));
