Take no success without the header that each success bears

Cause: a server that stops in its answer's head, ends the head and closes leaves an answer without framing. With an interface that allows answers which end with their connection, that was a complete answer with an empty body, and the gateway passed it on as 200 with Content-Length 0.

Change: http_interface names the header that each whole success (2xx) bears. A success without it is damaged: its connection is closed, the attempt may have run, and nothing of the answer goes to the caller.

--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -26,6 +26,9 @@
     /// Servers echo the request id in each answer. One without it is then never
     /// taken for the answer to the current request.
     bool answers_bear_request_id = false;
+    /// Header that each complete success (2xx) of a server bears; empty: none.
+    /// A success without it is a damaged answer.
+    std::string success_mark;
     std::string deadline = "Medlar-Deadline-Ms"; ///< remaining milliseconds
     std::string not_run = "Medlar-Not-Run"; ///< "1": the request did not run
     std::string account; ///< carries the account's name; empty: not sent
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -423,6 +423,14 @@
                        });
 }
 
+// False for a success that lacks the header which each whole success bears: the
+// server stopped in the middle of the head.
+bool upstream::has_success_mark(const http::response_header<>& header) const
+{
+    return header.result_int() / 100 != 2 || this->names.success_mark.empty() ||
+           !header[this->names.success_mark].empty();
+}
+
 // True for an answer that ends with its connection. Unless the interface allows
 // such answers, one that ends early would look complete.
 bool upstream::ends_with_connection(const exchange& current) const
@@ -785,6 +793,11 @@
         current.reject_damaged("no framing or no final answer");
         co_return false;
     }
+    if (!this->has_success_mark(header))
+    {
+        current.reject_damaged("success without its header");
+        co_return false;
+    }
     current.not_run = this->states_not_run(header);
     current.age_limit = this->times.max_idle_age;
     if (const auto timeout = keep_alive_timeout(header))
--- a/standin/scripted_server.cpp
+++ b/standin/scripted_server.cpp
@@ -115,6 +115,12 @@
     this->position = 0;
 }
 
+void scripted_server::cut_at(const response_cut& new_cut)
+{
+    const std::lock_guard guard(this->mutex);
+    this->cut = new_cut;
+}
+
 std::vector<std::string> scripted_server::run_ids() const
 {
     const std::lock_guard guard(this->mutex);
@@ -246,6 +252,26 @@
     }
 }
 
+// Writes the first bytes of a response, then closes or resets the connection.
+bool scripted_server::answer_cut(tcp::socket& socket, const std::string& id)
+{
+    response_cut where;
+    {
+        const std::lock_guard guard(this->mutex);
+        where = this->cut;
+    }
+    write(socket,
+          this->response_text(where.response, id).substr(0, where.bytes) +
+              (where.blank_line ? "\r\n\r\n" : ""));
+    if (where.reset)
+    {
+        // A reset discards bytes that were not delivered yet.
+        std::this_thread::sleep_for(segment_gap);
+        reset(socket);
+    }
+    return false;
+}
+
 // Writes a response, and the same one a second time: at once, or as `repeated`
 // before the next response.
 bool scripted_server::answer_repeatedly(tcp::socket& socket,
@@ -374,6 +400,17 @@
                   "", 500, fmt::format("Content-Length: {}\r\n", body.size())) +
                   body);
         return false;
+    case response_kind::without_signature:
+        return write(socket, fmt::format("HTTP/1.1 200 Status\r\n{}: {}\r\n"
+                                         "Content-Length: {}\r\n\r\n{}",
+                                         this->names.request_id, id,
+                                         body.size(), body));
+    case response_kind::cut_head_end:
+        write(socket, fmt::format("HTTP/1.1 200 Status\r\n{}: {}\r\n\r\n",
+                                  this->names.request_id, id));
+        return false;
+    case response_kind::cut_anywhere:
+        return this->answer_cut(socket, id);
     case response_kind::shed_twice:
     case response_kind::shed_again_soon:
     case response_kind::shed_again_later:
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -36,14 +36,17 @@
     noise,              ///< bytes that are not an HTTP response
     silence_then_end,   ///< closes without a response
     without_id,         ///< a success without a request id, then closes
+    without_signature,  ///< a success that lacks the header of all successes
     failure_without_id, ///< status 500 without a request id, then closes
-    shed_twice,         ///< a refusal and at once the same refusal again
-    shed_again_soon,    ///< a refusal, and again before the next request
-    shed_again_later,   ///< a refusal, and again before the next response
+    cut_head_end,     ///< the head ends before its framing, then the connection
+    shed_twice,       ///< a refusal and at once the same refusal again
+    shed_again_soon,  ///< a refusal, and again before the next request
+    shed_again_later, ///< a refusal, and again before the next response
     shed_again_without_id,    ///< as shed_again_later, the copy without id
     shed_again_in_pieces,     ///< as shed_again_later, in several segments
     success_again_without_id, ///< a success, and again before the next response
-    last = success_again_without_id, ///< of those that end by themselves
+    cut_anywhere,             ///< closes or resets as set by cut_at()
+    last = cut_anywhere,      ///< of those that end by themselves
     // The others send bytes until the client closes the connection.
     endless_line,       ///< a first line without an end
     endless_fields,     ///< header fields without an end
@@ -64,6 +67,15 @@
     std::string signature; ///< of every success; empty: none is sent
 };
 
+/// Where the response cut_anywhere ends.
+struct response_cut
+{
+    response_kind response = response_kind::with_length;
+    std::size_t bytes = 0;   ///< sent before the end
+    bool blank_line = false; ///< an empty line, which ends a head, follows
+    bool reset = false;      ///< ends with a TCP reset
+};
+
 /// Serves each connection on its own thread. The destructor waits for these
 /// threads, so clients must close their connections first.
 class scripted_server
@@ -77,6 +89,9 @@
     /// Replaces the script. Requests after its end are answered with_length.
     void play(std::vector<response_kind> new_script);
 
+    /// Sets where the responses of the kind cut_anywhere end.
+    void cut_at(const response_cut& new_cut);
+
     /// Ids of the requests that this server has run, in order. A request that
     /// it has refused as not run is not among them.
     std::vector<std::string> run_ids() const;
@@ -94,6 +109,8 @@
     void serve();
     void serve_connection(boost::asio::ip::tcp::socket& socket);
     response_kind next_manner();
+    bool answer_cut(boost::asio::ip::tcp::socket& socket,
+                    const std::string& id);
     bool answer_repeatedly(boost::asio::ip::tcp::socket& socket,
                            response_kind manner,
                            const std::string& id,
@@ -119,6 +136,7 @@
     std::vector<response_kind> script;
     std::size_t position = 0;
     std::vector<std::string> executed_ids;
+    response_cut cut;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -104,7 +104,7 @@
 standin::scripted_header_names names()
 {
     const net::http_interface interface = platform::http_interface_names();
-    return {interface.request_id, interface.not_run, {}};
+    return {interface.request_id, interface.not_run, interface.success_mark};
 }
 
 /// Checks the result of one request. Any request may fail, since an earlier
@@ -152,6 +152,10 @@
             }));
     // Callers may send several requests with the same id.
     const bool same_id = *rc::gen::arbitrary<bool>();
+    standin::response_cut cut;
+    cut.bytes = *rc::gen::inRange<std::size_t>(0, 200);
+    cut.reset = *rc::gen::arbitrary<bool>();
+    server.cut_at(cut);
     server.play(script);
     sender client(server.port());
     std::size_t number = 0;
@@ -226,12 +230,14 @@
                          a_kept_connection,
                          ::testing::ValuesIn(repeated_responses));
 
-// Guards against an answer without the request's id on a connection that served
-// nothing before: nothing shows that it belongs to the request.
+// Guards against an answer without the request's id, or a success without the
+// header that each success bears, on a connection that served nothing before:
+// nothing shows that it belongs to the request or that it is complete.
 TEST(damaged_answers, are_neither_an_answer_nor_a_refusal)
 {
     for (const response_kind manner :
-         {response_kind::without_id, response_kind::failure_without_id})
+         {response_kind::without_id, response_kind::without_signature,
+          response_kind::failure_without_id, response_kind::cut_head_end})
     {
         standin::scripted_server server(names());
         server.play({manner});
@@ -244,6 +250,110 @@
     }
 }
 
+namespace
+{
+
+/// Where a connection ends, and what it served before.
+struct cut_situation
+{
+    response_kind response;
+    bool reset;
+    bool kept;
+    bool blank_line;
+};
+
+/// Sends one request for each byte at which its answer can end early. If the
+/// connection closes regularly, an answer that ends with its connection can be
+/// cut in its head only: each part of its body is a complete one.
+void cut_at_each_byte(const cut_situation& situation)
+{
+    standin::scripted_server server(names());
+    const std::string id = "request-cut";
+    const std::string text = server.response_text(situation.response, id);
+    const std::size_t head_bytes = text.find("\r\n\r\n", 30) + 4;
+    std::size_t end = text.size();
+    if (situation.blank_line)
+    {
+        // A shortened value of the last header cannot be detected.
+        end = text.find(": valid");
+    }
+    else if (situation.response == response_kind::until_close &&
+             !situation.reset)
+    {
+        end = head_bytes;
+    }
+    for (std::size_t bytes = 0; bytes < end; ++bytes)
+    {
+        // The body consists of equal parts; cuts at its start and end suffice.
+        if (bytes == head_bytes + 40)
+        {
+            bytes = std::max(bytes, end - 10);
+        }
+        server.play(situation.kept ? std::vector{response_kind::with_length,
+                                                 response_kind::cut_anywhere}
+                                   : std::vector{response_kind::cut_anywhere});
+        server.cut_at(
+            {situation.response, bytes, situation.blank_line, situation.reset});
+        sender client(server.port());
+        if (situation.kept)
+        {
+            ASSERT_EQ(client.send("request-0").end, attempt_end::answered);
+            std::this_thread::sleep_for(settled);
+        }
+        const auto result = client.send(id);
+        EXPECT_TRUE(result.end == attempt_end::closed_early ||
+                    result.end == attempt_end::answer_cut_off)
+            << "end " << static_cast<int>(result.end) << " after " << bytes
+            << " bytes: " << text.substr(0, bytes);
+        EXPECT_FALSE(client.caller->complete) << "after " << bytes << " bytes";
+        EXPECT_EQ(server.run_ids().back(), id);
+        EXPECT_EQ(client.servers.counters().connections_reused,
+                  situation.kept ? 1U : 0U);
+    }
+}
+
+class a_cut_answer : public ::testing::TestWithParam<response_kind>
+{
+};
+
+} // namespace
+
+// Guards against an answer that ends early, at any byte, and is taken for a
+// complete one or for a refusal, on a new connection and on a reused one.
+TEST_P(a_cut_answer, is_never_complete_on_a_closed_connection)
+{
+    for (const bool kept : {false, true})
+    {
+        cut_at_each_byte({GetParam(), false, kept, false});
+    }
+}
+
+// Guards against the same when the server's machine resets the connection.
+TEST_P(a_cut_answer, is_never_complete_on_a_reset_connection)
+{
+    for (const bool kept : {false, true})
+    {
+        cut_at_each_byte({GetParam(), true, kept, false});
+    }
+}
+
+// Guards against a server that stops in its answer's head and ends the head as
+// it closes: without its framing line the answer would look complete and empty.
+TEST_P(a_cut_answer, is_never_complete_when_only_its_head_was_ended)
+{
+    for (const bool kept : {false, true})
+    {
+        cut_at_each_byte({GetParam(), false, kept, true});
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(of_each_framing,
+                         a_cut_answer,
+                         ::testing::Values(response_kind::with_length,
+                                           response_kind::chunked,
+                                           response_kind::until_close,
+                                           response_kind::after_continue));
+
 // Guards against the property above holding only because no request is ever
 // answered.
 TEST(answers_of_a_correct_server, all_arrive)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -495,7 +495,7 @@
             this->scripted.push_back(std::make_unique<standin::scripted_server>(
                 standin::scripted_header_names{this->names.request_id,
                                                this->names.not_run,
-                                               std::string()}));
+                                               this->names.success_mark}));
             this->announce("s" + std::to_string(index),
                            this->scripted.back()->port());
         }
@@ -560,3 +560,42 @@
         }
     }
 }
+
+// Guards against a caller that gets a damaged answer as a complete one, is told
+// "not run" about a request that ran, or whose order runs twice, whatever a
+// server writes. The sequence is random with a fixed seed.
+TEST_F(a_gateway_fleet_of_faulty_servers, tells_callers_nothing_untrue)
+{
+    using standin::response_kind;
+    std::mt19937 random(25);
+    std::uniform_int_distribution<int> any_kind(
+        0, static_cast<int>(response_kind::last));
+    std::uniform_int_distribution<std::size_t> any_length(0, 250);
+    for (const auto& server : this->scripted)
+    {
+        std::vector<response_kind> script(200);
+        std::generate(script.begin(), script.end(),
+                      [&]
+                      {
+                          return static_cast<response_kind>(any_kind(random));
+                      });
+        server->play(script);
+    }
+    unsigned answered = 0;
+    for (int count = 0; count < 150; ++count)
+    {
+        for (const auto& server : this->scripted)
+        {
+            server->cut_at({response_kind::with_length, any_length(random),
+                            count % 3 == 0, count % 2 == 0});
+        }
+        const bool order = count % 2 == 0;
+        const std::string id = fmt::format("mixed-{}", count);
+        const auto answer =
+            this->call(0, order ? "/order/x" : "/browse/x", test_key, "", id);
+        this->check(answer, id);
+        EXPECT_LE(this->runs_of(id), order ? 1U : 2U) << id;
+        answered += answer.status == 200 ? 1 : 0;
+    }
+    EXPECT_GT(answered, 0U);
+}
