Take no repeated answer of the store for the answer to the next call

Cause: the client kept bytes that came after an answer, and read the next answer from them. When the store wrote the page of one prefix twice, the copy was taken for the page of the servers: it names none, so that all servers were removed. A copy that came later, before the next answer, did the same.

Change: a kept connection is closed instead of reused once the server has sent anything after its last answer.

Measured: before, a_reader_of_a_store_that_repeats.keeps_its_servers failed for both kinds ("store_test.cpp:477: Failure", usable_servers() was 0 instead of 1). Both pass now. believes_no_listing_that_ends_early passed before too: a listing cut at each of its first 120 bytes, with and without a length, is never applied.

--- a/medlarbarrow/net/http_connection.cpp
+++ b/medlarbarrow/net/http_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 #include <medlarbarrow/net/http_connection.hpp>
+#include <medlarbarrow/net/idle_socket.hpp>
 
 namespace medlarbarrow::net
 {
@@ -56,6 +57,7 @@
     http::request<http::empty_body> request(http::verb::get, path,
                                             http_version);
     request.set(http::field::host, this->host);
+    this->close_unless_silent();
     for (bool reused = this->connected;; reused = false)
     {
         error = {};
@@ -118,6 +120,17 @@
     this->cancelled = false;
 }
 
+// Closes a connection on which the server has sent something after its last
+// answer. It would be taken for the answer to the next request.
+void http_connection::close_unless_silent()
+{
+    if (this->connected && (this->buffer.size() > 0 ||
+                            !is_open_without_input(this->stream.socket())))
+    {
+        this->close();
+    }
+}
+
 void http_connection::close()
 {
     this->connected = false;
--- a/medlarbarrow/net/http_connection.hpp
+++ b/medlarbarrow/net/http_connection.hpp
@@ -48,6 +48,10 @@
     /// Ends the running request and makes others fail until allow().
     void cancel();
 
+    /// Closes the connection, so that the next request is sent over a new one,
+    /// on which no earlier answer can arrive. No request may be running.
+    void close();
+
     /// Permits requests again after cancel().
     void allow();
 
@@ -59,7 +63,7 @@
     http_answer
     take_answer(boost::beast::http::response<boost::beast::http::string_body>&&
                     message);
-    void close();
+    void close_unless_silent();
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
--- a/standin/store.cpp
+++ b/standin/store.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -12,6 +13,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
+#include <sstream>
 #include <standin/store.hpp>
 #include <thread>
 #include <vector>
@@ -90,6 +92,17 @@
     return value;
 }
 
+std::string to_text(http::response<http::string_body> response, bool unframed)
+{
+    if (unframed)
+    {
+        response.erase(http::field::content_length);
+    }
+    std::ostringstream text;
+    text << response;
+    return text.str();
+}
+
 } // namespace
 
 /// Items and their history, shared by the server thread and the users of the
@@ -223,6 +236,7 @@
 {
     boost::beast::flat_buffer buffer;
     error_code failure;
+    std::string previous; ///< answer that is written again
     while (!failure)
     {
         http::request<http::empty_body> request;
@@ -249,9 +263,25 @@
             asio::steady_timer forever(this->io, std::chrono::hours(1));
             co_await forever.async_wait(asio::use_awaitable);
         }
-        co_await http::async_write(
-            socket, response,
+        const std::string text = to_text(response, current_faults.unframed);
+        std::string output = previous;
+        output += text;
+        if (current_faults.twice)
+        {
+            output += text;
+        }
+        if (current_faults.cut)
+        {
+            output.resize(std::min(output.size(), *current_faults.cut));
+        }
+        previous = current_faults.again_later ? text : std::string();
+        co_await asio::async_write(
+            socket, asio::buffer(output),
             asio::redirect_error(asio::use_awaitable, failure));
+        if (current_faults.cut || current_faults.unframed)
+        {
+            break;
+        }
     }
 }
 
--- a/standin/store.hpp
+++ b/standin/store.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace medlarbarrow::standin
@@ -14,10 +15,15 @@
 /// Faults and limits that a test can set.
 struct store_faults
 {
-    bool away = false;      ///< closes every connection without a response
-    bool silent = false;    ///< accepts requests but never answers
-    unsigned status = 0;    ///< answers every request with it; 0: normally
-    std::size_t page = 500; ///< most items in one page of a listing
+    bool away = false;        ///< closes every connection without a response
+    bool silent = false;      ///< accepts requests but never answers
+    unsigned status = 0;      ///< answers every request with it; 0: normally
+    std::size_t page = 500;   ///< most items in one page of a listing
+    bool twice = false;       ///< writes each answer twice
+    bool again_later = false; ///< writes each answer again before the next one
+    bool unframed = false;    ///< answers end with their connection
+    /// Closes the connection after so many bytes of an answer.
+    std::optional<std::size_t> cut;
 };
 
 /// Requests received.
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -428,3 +428,86 @@
             return this->usable_servers() == 2;
         }));
 }
+
+namespace
+{
+
+/// A store that writes each answer a second time, at once or before the next.
+class a_reader_of_a_store_that_repeats
+    : public a_reader_of_the_store,
+      public testing::WithParamInterface<bool>
+{
+};
+
+} // namespace
+
+// Guards against a repeated answer that is taken for the answer to the next
+// call: the page of another prefix names no server, which removes all servers.
+TEST_P(a_reader_of_a_store_that_repeats, keeps_its_servers)
+{
+    this->store.put("op/config", config_text);
+    this->store.put("servers/i-1", server_text("ready"));
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable_servers() == 1 && this->has_version(7);
+        }));
+    standin::store_faults faults;
+    faults.twice = GetParam();
+    faults.again_later = !GetParam();
+    this->store.set_faults(faults);
+    for (int count = 0; count < 3; ++count)
+    {
+        const std::uint64_t listings = this->store.counts().listings;
+        this->store.drop_history();
+        ASSERT_TRUE(this->run_until(
+            [this, listings]
+            {
+                return this->usable_servers() == 0 ||
+                       this->store.counts().listings >= listings + 2;
+            }));
+        const auto end = std::chrono::steady_clock::now() + 300ms;
+        while (std::chrono::steady_clock::now() < end &&
+               this->usable_servers() == 1)
+        {
+            this->io.run_for(5ms);
+            this->io.restart();
+        }
+        ASSERT_EQ(this->usable_servers(), 1U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(at_once_or_later,
+                         a_reader_of_a_store_that_repeats,
+                         testing::Bool());
+
+// Guards against a listing that ends early and is taken for a complete one,
+// which would lack servers, at each byte of its head and of its body.
+TEST_F(a_reader_of_the_store, believes_no_listing_that_ends_early)
+{
+    this->store.put("op/config", config_text);
+    this->store.put("servers/i-1", server_text("ready"));
+    for (const bool unframed : {false, true})
+    {
+        // The head of an answer and the start of its body.
+        for (std::size_t bytes = 0; bytes < 120; ++bytes)
+        {
+            standin::store_faults faults;
+            faults.unframed = unframed;
+            faults.cut = bytes;
+            this->store.set_faults(faults);
+            const std::uint64_t listings = this->store.counts().listings;
+            this->start();
+            ASSERT_TRUE(this->run_until(
+                [this, listings]
+                {
+                    return this->store.counts().listings > listings &&
+                           this->reader->counters().failed_calls > 0;
+                }))
+                << "cut after " << bytes << " bytes";
+            EXPECT_EQ(this->published.revision(), 0U)
+                << "cut after " << bytes << " bytes";
+        }
+    }
+}
