Keep a connection whose request has just been read

Cause: idle_since() asked only the socket for waiting bytes. Between the read of a request and the parsing of its header the bytes are in the input buffer, so that evict_oldest_idle() could close the connection as idle and drop a request that had been read.

Change: a connection with bytes in its input buffer is not idle.

Measured: without the change caller_test fails: caller_test.cpp:57: Failure Value of: this->connection->idle_since() Actual: true Expected: false With it caller_test passes, and entry_test and gateway_test still do.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -542,7 +542,8 @@
 {
     error_code ignored;
     const bool arriving = !this->closed && this->idle_start &&
-                          this->stream.socket().available(ignored) > 0;
+                          (this->input.size() > 0 ||
+                           this->stream.socket().available(ignored) > 0);
     return arriving ? std::nullopt : this->idle_start;
 }
 
