Don't cut an answer to a slow caller at the idle timeout

Cause: write_buffers() limited each write to the idle timeout of the document. On a connection opened under a document with a short one, a caller that read no byte for that long, or too slowly for up to 256 KiB of answer, got a reset in the middle of its answer. Connections opened before keep the timeout they were opened with, so that they were spared.

Change: a write fails only when the caller accepts no further byte for 30 s, the limit that the TCP options already set for a silent caller.

Tests: planned_stop_test starts real instances on a stand-in store. Besides the fault above it guards SIGHUP and new documents under load, which lost nothing before either.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -32,6 +32,11 @@
 /// gone.
 constexpr milliseconds unacknowledged_limit{30000};
 
+/// A caller that accepts no further byte of its answer for this long is taken
+/// to be gone. The idle timeout does not apply, since it may be much shorter:
+/// a connection is not idle while an answer is written.
+constexpr milliseconds stalled_write_limit{30000};
+
 void set_socket_options(asio::ip::tcp::socket& socket)
 {
     error_code ignored;
@@ -414,7 +419,8 @@
     this->operation_timer.cancel();
 }
 
-// Writes all buffers within the idle timeout. False when that fails.
+// Writes all buffers. False when that fails or the caller accepts no further
+// byte for stalled_write_limit.
 asio::awaitable<bool> caller_connection::write_buffers(
     const std::array<asio::const_buffer, 4>& buffers)
 {
@@ -423,9 +429,20 @@
         co_return false;
     }
     error_code failure;
-    this->start_operation_timer(this->bounds.idle_timeout);
+    this->start_operation_timer(stalled_write_limit);
+    const std::size_t total = asio::buffer_size(buffers);
+    // Called before and after each part of the write.
+    const auto remaining =
+        [this, total](const error_code& part_failure, std::size_t written)
+    {
+        if (!part_failure && written > 0 && written < total)
+        {
+            this->start_operation_timer(stalled_write_limit);
+        }
+        return part_failure ? 0 : total - written;
+    };
     co_await asio::async_write(
-        this->stream, buffers,
+        this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
     this->stop_operation_timer();
     co_return !failure;
