Refuse what comes too late in a planned stop instead of cutting it

Cause: after SIGTERM the gateway went on reading and passing on requests from open connections until the event loop was stopped 0.3 s before the end of the grace. Requests that came late (on a connection whose answer was being streamed when the stop began, with a slow head or body, or on a connection accepted late) were cut while their servers worked on them, also those that may not be repeated. So were requests that still waited for a server.

Change: core/shutdown decides. Log lines and counters tell the three apart.

--- a/medlarbarrow/core/request_flow.cpp
+++ b/medlarbarrow/core/request_flow.cpp
@@ -143,6 +143,30 @@
     return std::nullopt;
 }
 
+// Ends the attempts that no server has got, one per call, like
+// cancel_other_attempts().
+std::optional<flow_action> request_flow::cancel_unsent_attempts()
+{
+    for (attempt_number index = 0; index < this->attempts.size(); ++index)
+    {
+        attempt& current = this->attempts[index];
+        if (current.state == attempt_state::ended ||
+            current.state == attempt_state::sending)
+        {
+            continue;
+        }
+        const bool has_placement = current.state != attempt_state::unplaced;
+        current.cancelled = true;
+        current.result = send_result::not_sent;
+        current.state = attempt_state::ended;
+        if (has_placement)
+        {
+            return action_cancel{index};
+        }
+    }
+    return std::nullopt;
+}
+
 // Cancels the other attempts, one per call, before the request ends with the
 // final action.
 flow_action request_flow::finish(flow_action final_action)
@@ -264,6 +288,13 @@
                           may_have_run,
                           {}});
     }
+    if (this->sending_stopped)
+    {
+        if (const auto cancel = this->cancel_unsent_attempts())
+        {
+            return *cancel;
+        }
+    }
     if (const auto step = this->next_step(now))
     {
         return *step;
@@ -344,6 +375,18 @@
     }
 }
 
+void request_flow::stop_sending(const action_refuse& reason)
+{
+    this->sending_stopped = true;
+    this->placement_refused = true;
+    this->refusal = reason;
+}
+
+void request_flow::shorten_deadline(time_point deadline)
+{
+    this->terms.deadline = std::min(this->terms.deadline, deadline);
+}
+
 void request_flow::on_caller_gone()
 {
     this->caller_gone = true;
--- a/medlarbarrow/core/request_flow.hpp
+++ b/medlarbarrow/core/request_flow.hpp
@@ -116,6 +116,13 @@
 
     void on_caller_gone();
 
+    /// No server may get the request any more. It is refused with `reason`,
+    /// unless a server works on it already.
+    void stop_sending(const action_refuse& reason);
+
+    /// Moves the deadline forward to this time.
+    void shorten_deadline(time_point deadline);
+
     bool is_over() const noexcept
     {
         return this->over;
@@ -146,6 +153,7 @@
     };
 
     std::optional<flow_action> cancel_other_attempts();
+    std::optional<flow_action> cancel_unsent_attempts();
     flow_action finish(flow_action final_action);
     flow_action next_while_streaming();
     bool may_send_again(time_point now) const;
@@ -166,6 +174,7 @@
     duration typical{};
     bool caller_gone = false;
     bool placement_refused = false; ///< the owner grants no further server
+    bool sending_stopped = false;   ///< no server may get the request
     bool over = false;
     std::uint32_t sends_not_run = 0;
 };
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -207,7 +207,8 @@
             this->idle_start.reset();
             header_deadline = now + this->bounds.header_timeout;
         }
-        if (header_deadline && now >= *header_deadline)
+        if (header_deadline &&
+            (now >= *header_deadline || this->reading_expired))
         {
             co_return head_status::timed_out;
         }
@@ -340,7 +341,8 @@
         {
             continue;
         }
-        if (this->is_gone() || core::boot_clock::now() >= deadline)
+        if (this->is_gone() || this->reading_expired ||
+            core::boot_clock::now() >= deadline)
         {
             co_return false;
         }
@@ -530,6 +532,12 @@
     this->changed.notify();
 }
 
+void caller_connection::expire_reading()
+{
+    this->reading_expired = true;
+    this->changed.notify();
+}
+
 // Closes the socket and tells the waiting operations that the caller is gone.
 void caller_connection::close_socket()
 {
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -156,6 +156,9 @@
     /// from now on carry "Connection: close".
     void drain();
 
+    /// From now on a request that has arrived only in part counts as timed out.
+    void expire_reading();
+
     /// True after part of an answer has been written.
     bool has_answer_started() const
     {
@@ -234,6 +237,7 @@
     bool read_ended = false; ///< end of stream or an error
     bool closed = false;
     bool draining = false;
+    bool reading_expired = false;
     bool closes_after_answer = false;
     std::optional<core::time_point> idle_start;
 
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -69,7 +69,8 @@
                              this->on_published();
                          }),
           signals(io, SIGTERM, SIGINT, SIGHUP), registry_timer(io),
-          catch_up_timer(io), stop_timer(io), kill_timer(io)
+          catch_up_timer(io), stop_timer(io), waiting_timer(io),
+          running_timer(io), kill_timer(io)
     {
     }
 
@@ -109,6 +110,8 @@
     asio::steady_timer registry_timer;
     asio::steady_timer catch_up_timer;
     asio::steady_timer stop_timer;
+    asio::steady_timer waiting_timer;
+    asio::steady_timer running_timer;
     asio::steady_timer kill_timer;
     bool catching_up = false;
     bool stopping = false;
@@ -441,6 +444,10 @@
     add_counter("fleet_second_shards_asked_total",
                 fleet_counts.second_shards_asked);
     add_counter("second_sends_total", gateway_counts.second_sends);
+    add_counter("stop_refused_late_total", gateway_counts.stop_refused_late);
+    add_counter("stop_refused_waiting_total",
+                gateway_counts.stop_refused_waiting);
+    add_counter("stop_cut_total", gateway_counts.stop_cut);
     add_counter("server_connections_opened_total",
                 gateway_counts.servers.connections_opened);
     add_counter("server_connections_reused_total",
@@ -505,14 +512,22 @@
 
 // Starts the shutdown. The readiness check fails at once, so that the load
 // balancer stops sending connections, and answers on open connections close
-// them. New connections are accepted for balancer_removal_time.
+// them. New connections are accepted for balancer_removal_time. The plan says
+// when requests are refused and when the instance ends.
 void fleet_instance::state::begin_stop()
 {
     this->stopping = true;
     log::write(log::level::info, "stopping",
                {log::kv("running", this->caller_gateway->running_requests())});
     this->fleet_peers->leave();
-    this->caller_gateway->drain();
+    const core::time_point now = core::boot_clock::now();
+    const core::shutdown_plan plan(now, this->adapter.shutdown_grace,
+                                   shutdown_margin);
+    const auto delay_until = [now](core::time_point time)
+    {
+        return std::chrono::duration_cast<milliseconds>(time - now);
+    };
+    this->caller_gateway->begin_shutdown(plan);
     run_after(this->stop_timer, balancer_removal_time,
               [this]
               {
@@ -522,7 +537,17 @@
                           this->end(true);
                       });
               });
-    run_after(this->kill_timer, this->adapter.shutdown_grace - shutdown_margin,
+    run_after(this->waiting_timer, delay_until(plan.waiting_refused_at()),
+              [this]
+              {
+                  this->caller_gateway->refuse_waiting();
+              });
+    run_after(this->running_timer, delay_until(plan.running_ended_at()),
+              [this]
+              {
+                  this->caller_gateway->end_running();
+              });
+    run_after(this->kill_timer, delay_until(plan.exit_at()),
               [this]
               {
                   this->end(false);
@@ -531,7 +556,9 @@
 
 void fleet_instance::state::end(bool all_ended)
 {
-    this->all_requests_ended = all_ended;
+    this->caller_gateway->log_shutdown();
+    this->all_requests_ended =
+        all_ended && this->caller_gateway->counters().stop_cut == 0;
     this->source_reader->close();
     this->io.stop();
 }
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -32,10 +32,14 @@
     const auto opened =
         std::make_shared<session>(this->shared_from_this(), std::move(socket));
     this->sessions.insert(opened.get());
-    if (this->draining)
+    if (this->plan)
     {
         opened->connection().drain();
     }
+    if (this->sending_ended)
+    {
+        opened->connection().expire_reading();
+    }
     asio::co_spawn(this->io, session::run(opened), asio::detached);
 }
 
@@ -206,15 +210,46 @@
                              1.0};
 }
 
-void gateway::drain()
+void gateway::begin_shutdown(const core::shutdown_plan& plan)
 {
-    this->self->draining = true;
+    this->self->plan = plan;
     for (state::session* open_session : this->self->sessions)
     {
         open_session->connection().drain();
     }
 }
 
+void gateway::refuse_waiting()
+{
+    this->self->sending_ended = true;
+    this->self->connections.stop_sending();
+    for (state::session* open_session : this->self->sessions)
+    {
+        open_session->refuse_waiting();
+    }
+}
+
+void gateway::end_running()
+{
+    for (state::session* open_session : this->self->sessions)
+    {
+        open_session->end_running();
+    }
+}
+
+void gateway::log_shutdown()
+{
+    for (state::session* open_session : this->self->sessions)
+    {
+        open_session->log_if_cut();
+    }
+    const gateway_counters& counts = this->self->counts;
+    log::write(log::level::info, "stop_ended",
+               {log::kv("refused_late", counts.stop_refused_late),
+                log::kv("refused_waiting", counts.stop_refused_waiting),
+                log::kv("cut", counts.stop_cut)});
+}
+
 // Accepts the connections that wait in the system's accept queue first, because
 // closing the listener would reset them.
 void gateway::stop(std::function<void()> on_drained)
--- a/medlarbarrow/net/gateway.hpp
+++ b/medlarbarrow/net/gateway.hpp
@@ -6,6 +6,7 @@
 
 #include <medlarbarrow/core/accounts.hpp>
 #include <medlarbarrow/core/routes.hpp>
+#include <medlarbarrow/core/shutdown.hpp>
 #include <medlarbarrow/net/entry.hpp>
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/headers.hpp>
@@ -28,6 +29,9 @@
     std::uint64_t answered = 0;
     std::uint64_t callers_gone = 0;
     std::uint64_t second_sends = 0;
+    std::uint64_t stop_refused_late = 0;    ///< came too late in a shutdown
+    std::uint64_t stop_refused_waiting = 0; ///< waited at the end of a shutdown
+    std::uint64_t stop_cut = 0; ///< were running at the end of a shutdown
     std::map<core::result_code, std::uint64_t> refusals;
     upstream_counters servers;
 };
@@ -62,9 +66,20 @@
     std::optional<core::quota_limit>
     account_limit(const std::string& account) const;
 
-    /// From now on, answers close their connections and idle connections are
-    /// closed.
-    void drain();
+    /// From now on, answers close their connections, idle connections are
+    /// closed and requests are refused that come too late for the plan.
+    void begin_shutdown(const core::shutdown_plan& plan);
+
+    /// Refuses the requests that wait for a server or have arrived only in
+    /// part. From now on nothing is sent to a server.
+    void refuse_waiting();
+
+    /// Tells the callers of requests that still run that the outcome is
+    /// unknown. Answers that are being written go on.
+    void end_running();
+
+    /// Logs the requests that are cut now and the counts of the shutdown.
+    void log_shutdown();
 
     /// Stops accepting connections. Calls `on_drained` once all connections
     /// have ended.
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -87,6 +87,7 @@
         this->route = nullptr;
         this->account = nullptr;
         ++this->request_number;
+        this->serving = true;
         if (status == head_status::complete)
         {
             co_await this->serve_request();
@@ -103,9 +104,17 @@
             {
                 code = result_code::caller_gone;
             }
-            co_await this->refuse(code, false, {});
+            if (code == result_code::caller_gone && this->shared->sending_ended)
+            {
+                co_await this->refuse_for_shutdown(true);
+            }
+            else
+            {
+                co_await this->refuse(code, false, {});
+            }
         }
         --this->shared->running_requests;
+        this->serving = false;
         this->summary.elapsed = now() - this->started_at;
         this->log_request();
         if (this->shared->request_observer)
@@ -127,11 +136,22 @@
     {
         co_return;
     }
+    // A caller that waits for "100 Continue" need not send the body.
+    if (this->request.expects_continue && this->comes_too_late())
+    {
+        co_await this->refuse_for_shutdown(false);
+        co_return;
+    }
     const bool body_accepted = co_await this->read_body();
     if (!body_accepted)
     {
         co_return;
     }
+    if (this->comes_too_late())
+    {
+        co_await this->refuse_for_shutdown(false);
+        co_return;
+    }
     const bool admitted = co_await this->admit();
     if (!admitted)
     {
@@ -237,6 +257,11 @@
             code = result_code::bad_request;
         }
         this->caller->close_after_answer();
+        if (code == result_code::caller_gone && this->shared->sending_ended)
+        {
+            co_await this->refuse_for_shutdown(true);
+            co_return false;
+        }
         co_await this->refuse(code, false, {});
         co_return false;
     }
@@ -263,7 +288,7 @@
                                   *answer = quota;
                                   self->progress.notify();
                               });
-    while (!*answer && now() < this->deadline)
+    while (!*answer && now() < this->deadline && !this->shared->sending_ended)
     {
         co_await this->progress.wait_until(this->deadline);
     }
@@ -271,6 +296,11 @@
     {
         co_return true;
     }
+    if (!*answer && this->shared->sending_ended)
+    {
+        co_await this->refuse_for_shutdown(true);
+        co_return false;
+    }
     co_await this->refuse(result_code::rate_exceeded, false,
                           *answer ? (*answer)->retry_after : core::duration{});
     co_return false;
@@ -331,6 +361,7 @@
                 if (const auto* placed = std::get_if<core::placed>(&answer))
                 {
                     self->attempts[number].server = placed->server;
+                    self->attempts[number].typical = placed->typical_duration;
                 }
                 self->flow->on_placed(number, answer, now());
                 self->progress.notify();
@@ -344,6 +375,16 @@
 void gateway::state::session::start_send(const core::action_send& action)
 {
     attempt& current = this->attempts[action.number];
+    if (!this->can_end(current))
+    {
+        this->shared->peers.report_send_end(*current.grant,
+                                            core::send_outcome::cancelled, {});
+        current.grant.reset();
+        this->flow->stop_sending(this->shutdown_refusal());
+        this->flow->on_send_ended(action.number, core::send_result::not_sent,
+                                  now());
+        return;
+    }
     const core::announced_server* announced =
         this->shared->servers.find(action.server);
     if (announced == nullptr || announced->leaving ||
@@ -451,6 +492,10 @@
 {
     this->service = this->shared->splitter.choose_service(*this->route);
     this->flow.emplace(this->make_flow_terms());
+    if (this->shared->sending_ended)
+    {
+        this->flow->stop_sending(this->shutdown_refusal());
+    }
     this->caller->on_disconnect = [weak = this->weak_from_this()]
     {
         const auto self = weak.lock();
@@ -495,6 +540,10 @@
         else if (const auto* refusal =
                      std::get_if<core::action_refuse>(&action))
         {
+            if (refusal->code == result_code::shutting_down)
+            {
+                this->count_shutdown_refusal(this->shared->sending_ended);
+            }
             co_await this->refuse(refusal->code, refusal->outcome_unknown,
                                   refusal->retry_after);
         }
@@ -540,6 +589,90 @@
         head, head_only ? std::string_view() : std::string_view(body), true);
 }
 
+core::action_refuse gateway::state::session::shutdown_refusal() const
+{
+    return {result_code::shutting_down, false,
+            this->shared->plan->retry_after()};
+}
+
+// True if a request that is complete now could not be served before the end of
+// the shutdown.
+bool gateway::state::session::comes_too_late() const
+{
+    return this->shared->plan && !this->shared->plan->takes(now());
+}
+
+// False if the send would not end before the instance does.
+bool gateway::state::session::can_end(const attempt& current) const
+{
+    return !this->shared->plan ||
+           this->shared->plan->may_send(
+               {this->route->repeatable, current.typical, this->deadline},
+               now());
+}
+
+asio::awaitable<void> gateway::state::session::refuse_for_shutdown(bool waited)
+{
+    this->count_shutdown_refusal(waited);
+    this->caller->close_after_answer();
+    const core::duration retry_after = this->shared->plan->retry_after();
+    co_await this->refuse(result_code::shutting_down, false, retry_after);
+}
+
+// `waited`: at the end of the shutdown the request still waited for a server or
+// had arrived only in part. Otherwise it came too late to be sent to a server.
+void gateway::state::session::count_shutdown_refusal(bool waited)
+{
+    ++(waited ? this->shared->counts.stop_refused_waiting
+              : this->shared->counts.stop_refused_late);
+    log::write(log::level::info,
+               waited ? "stop_refused_waiting" : "stop_refused_late",
+               {log::kv("id", this->request.id)});
+}
+
+void gateway::state::session::refuse_waiting()
+{
+    this->caller->expire_reading();
+    if (this->serving && this->flow)
+    {
+        this->flow->stop_sending(this->shutdown_refusal());
+    }
+    this->progress.notify();
+}
+
+void gateway::state::session::end_running()
+{
+    if (!this->serving || !this->flow || this->flow->is_over() ||
+        this->caller->has_answer_started())
+    {
+        return;
+    }
+    this->count_cut("outcome_unknown");
+    this->flow->shorten_deadline(now());
+    this->progress.notify();
+}
+
+void gateway::state::session::log_if_cut()
+{
+    if (this->serving && !this->cut)
+    {
+        this->count_cut(this->caller->has_answer_started() ? "incomplete"
+                                                           : "none");
+    }
+}
+
+// `answer` is what the caller gets: none, incomplete or outcome_unknown.
+void gateway::state::session::count_cut(std::string_view answer)
+{
+    this->cut = true;
+    ++this->shared->counts.stop_cut;
+    log::write(log::level::warning, "stop_cut",
+               {log::kv("id", this->request.id),
+                log::kv("route", this->route ? this->route->name : ""),
+                log::kv("answer", answer),
+                log::kv("sends", this->format_sends())});
+}
+
 // For each server tried, in order: its name, how the send ended and how many
 // milliseconds after the start of the request.
 std::string gateway::state::session::format_sends() const
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -95,7 +95,8 @@
     std::function<void(const request_summary&)> request_observer;
     std::set<session*> sessions;
     std::size_t running_requests = 0;
-    bool draining = false;
+    std::optional<core::shutdown_plan> plan; ///< set when a shutdown begins
+    bool sending_ended = false; ///< nothing is sent to servers any more
     bool stopping = false;
     std::function<void()> on_drained;
 };
@@ -121,12 +122,23 @@
         return *this->caller;
     }
 
+    /// Refuses the request in progress unless a server works on it.
+    void refuse_waiting();
+
+    /// Ends the request in progress if it runs at a server. Its caller is told
+    /// that the outcome is unknown, unless an answer has been started.
+    void end_running();
+
+    /// Logs the request in progress as cut at the end of a shutdown.
+    void log_if_cut();
+
 private:
     /// One attempt to serve the request: its place call and its send.
     struct attempt
     {
         std::optional<core::grant_id> grant;
         std::string server;
+        core::duration typical{}; ///< expected duration of the send
         std::shared_ptr<send> active_send;
         std::string ending; ///< how the send ended, for the log
         core::time_point ended_at{};
@@ -148,6 +160,12 @@
     asio::awaitable<void> refuse(core::result_code code,
                                  bool outcome_unknown,
                                  core::duration retry_after);
+    core::action_refuse shutdown_refusal() const;
+    bool comes_too_late() const;
+    bool can_end(const attempt& current) const;
+    asio::awaitable<void> refuse_for_shutdown(bool waited);
+    void count_shutdown_refusal(bool waited);
+    void count_cut(std::string_view answer);
     std::string format_sends() const;
     void log_request();
 
@@ -172,6 +190,8 @@
     /// Number of the request in progress. Callbacks compare it with the number
     /// of their request, to ignore late events of an earlier one.
     std::uint64_t request_number = 0;
+    bool serving = false; ///< a request is in progress
+    bool cut = false;     ///< it was counted as cut
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -499,7 +499,7 @@
                                         exchange& current)
 {
     server_pool& pool = *current.pool;
-    while (!current.stopped)
+    while (!current.stopped && !this->sending_stopped)
     {
         if (!step.fresh_connection && this->take_idle(step, current))
         {
@@ -517,7 +517,7 @@
             ++this->counts->connections_open;
             current.holds_slot = true;
             const bool connected = co_await this->connect(step, current);
-            co_return connected;
+            co_return connected && !this->sending_stopped;
         }
         co_await pool.connection_available.wait_until(step.deadline);
     }
@@ -963,6 +963,15 @@
     co_return this->classify(*current, step.keep_answer);
 }
 
+void upstream::stop_sending()
+{
+    this->sending_stopped = true;
+    for (auto& [name, pool] : this->pools)
+    {
+        pool->connection_available.notify();
+    }
+}
+
 void upstream::close_expired_idle()
 {
     const core::time_point now = core::boot_clock::now();
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -112,6 +112,10 @@
             const trace::context& span,
             caller_channel& caller);
 
+    /// From now on nothing is sent: attempts that wait for a connection or open
+    /// one end as not sent. Those that have one go on.
+    void stop_sending();
+
     /// Closes connections that have reached the idle age limit.
     void close_expired_idle();
 
@@ -167,6 +171,7 @@
     upstream_times times;
     std::size_t part_bytes;
     std::uint32_t max_instances = 1;
+    bool sending_stopped = false;
     std::map<std::string, std::shared_ptr<server_pool>> pools;
 };
 
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -58,3 +58,19 @@
     }
     EXPECT_EQ(this->status, net::head_status::complete);
 }
+
+// Guards against a caller that gets no answer because the rest of its header
+// does not arrive before the instance ends.
+TEST_F(an_idle_connection, reports_an_incomplete_header_when_reading_expires)
+{
+    this->send("GET / HTTP/1.1\r\nHost:");
+    while (this->connection->idle_since())
+    {
+        this->io.poll();
+    }
+    this->connection->expire_reading();
+    while (!this->status && this->io.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(this->status, net::head_status::timed_out);
+}
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -561,6 +561,279 @@
     std::vector<call_record> records;
 };
 
+/// The platform stops the instance.
+class an_instance_that_stops : public an_instance
+{
+protected:
+    void stop()
+    {
+        this->stop_instance(0);
+        this->stopped_at = steady::now();
+    }
+
+    void wait_until(milliseconds after_stop) const
+    {
+        std::this_thread::sleep_until(this->stopped_at + after_stop);
+    }
+
+    /// Calls on a thread of its own.
+    std::thread start_call(kept_connection& connection,
+                           const call_plan& plan,
+                           call_record& record) const
+    {
+        return std::thread(
+            [&connection, &record, plan]
+            {
+                record = connection.call(plan);
+            });
+    }
+
+    /// The instance must end before the platform kills it.
+    void wait_for_end()
+    {
+        std::string state;
+        EXPECT_TRUE(eventually(
+            [this, &state]
+            {
+                state = this->instances[0]->state();
+                return state != "running";
+            },
+            10s));
+        EXPECT_LT(steady::now(), this->stopped_at + grace) << state;
+        EXPECT_TRUE(state.starts_with("exit status ")) << state;
+    }
+
+    steady::time_point stopped_at;
+};
+
+// Guards against callers that the load balancer still sends to an instance that
+// stops, and against connections that are refused before it has noticed.
+TEST_F(an_instance_that_stops, fails_its_readiness_check_and_accepts_for_a_time)
+{
+    kept_connection idle = this->connection_to(0);
+    ASSERT_TRUE(idle.connect());
+    call_record running;
+    std::thread call =
+        this->start_call(idle, {"/long/x?delay_ms=3500"}, running);
+    std::this_thread::sleep_for(200ms);
+    this->stop();
+    std::this_thread::sleep_for(50ms);
+    EXPECT_EQ(this->readiness(0), 503U);
+    for (const milliseconds time : {500ms, 1200ms, 2200ms})
+    {
+        this->wait_until(time);
+        kept_connection fresh = this->connection_to(0);
+        ASSERT_TRUE(fresh.connect()) << time.count();
+        this->expect_served(fresh.call({"/order/x?delay_ms=5"}));
+    }
+    call.join();
+    this->expect_served(running);
+    EXPECT_EQ(this->instances[0]->wait(), 0);
+}
+
+// Guards against requests that are cut or left without an answer because their
+// instance stops while their clients go on using kept connections.
+TEST_F(an_instance_that_stops, answers_every_request_under_steady_load)
+{
+    this->start_load(12, {"/order/x?delay_ms=30"});
+    this->start_load(4, {"/browse/x?delay_ms=150", std::string(3000, 'b')});
+    this->start_load(2, {"/stream/x?bytes=900000&delay_ms=10"});
+    std::this_thread::sleep_for(1s);
+    this->stop();
+    this->wait_for_end();
+    const std::vector<call_record> all = this->end_load();
+    EXPECT_GT(all.size(), 300U);
+    this->expect_none_lost(all);
+}
+
+// Guards against requests that are passed on although their answer cannot come
+// before the end of the grace: a connection whose answer was being streamed
+// when the stop began is kept, so that its client sends the next request late.
+TEST_F(an_instance_that_stops, refuses_a_late_request_after_a_streamed_answer)
+{
+    kept_connection connection = this->connection_to(0);
+    ASSERT_TRUE(connection.connect());
+    call_plan streamed{"/stream/x?bytes=12000000"};
+    streamed.before_body = [this]
+    {
+        this->stop();
+        this->wait_until(3500ms);
+    };
+    const call_record first = connection.call(streamed);
+    this->expect_served(first);
+    ASSERT_FALSE(first.closes);
+    this->expect_refused(connection.call({"/next/x?delay_ms=2500"}));
+    this->wait_for_end();
+}
+
+// Guards against requests that are passed on although their answer cannot come
+// before the end of the grace: the head is complete only late.
+TEST_F(an_instance_that_stops, refuses_a_request_whose_head_ends_late)
+{
+    kept_connection connection = this->connection_to(0);
+    ASSERT_TRUE(connection.connect());
+    this->stop();
+    call_plan slow{"/next/x?delay_ms=2800"};
+    slow.pause_in_head = 3500ms;
+    this->expect_refused(connection.call(slow));
+    this->wait_for_end();
+}
+
+// Guards against requests that are passed on although their answer cannot come
+// before the end of the grace: the body is complete only late.
+TEST_F(an_instance_that_stops, refuses_a_request_whose_body_ends_late)
+{
+    kept_connection connection = this->connection_to(0);
+    ASSERT_TRUE(connection.connect());
+    this->stop();
+    call_plan slow{"/next/x?delay_ms=2800", "drums and nets"};
+    slow.pause_in_body = 3500ms;
+    this->expect_refused(connection.call(slow));
+    this->wait_for_end();
+}
+
+// Guards against requests that are passed on although their answer cannot come
+// before the end of the grace: the connection was accepted late and is used
+// late.
+TEST_F(an_instance_that_stops, refuses_a_late_request_on_a_late_connection)
+{
+    kept_connection first = this->connection_to(0);
+    ASSERT_TRUE(first.connect());
+    call_record running;
+    std::thread call =
+        this->start_call(first, {"/long/x?delay_ms=4000"}, running);
+    std::this_thread::sleep_for(100ms);
+    this->stop();
+    this->wait_until(2200ms);
+    kept_connection late = this->connection_to(0);
+    ASSERT_TRUE(late.connect());
+    this->wait_until(3050ms);
+    this->expect_refused(late.call({"/next/x?delay_ms=3000"}));
+    call.join();
+    this->expect_served(running);
+    this->wait_for_end();
+}
+
+// Guards against a client that never learns that its request has not run,
+// because part of it is still missing at the end of the stop.
+TEST_F(an_instance_that_stops,
+       refuses_a_request_that_is_not_complete_at_the_end)
+{
+    kept_connection slow_head = this->connection_to(0);
+    kept_connection slow_body = this->connection_to(0);
+    ASSERT_TRUE(slow_head.connect());
+    ASSERT_TRUE(slow_body.connect());
+    call_plan head{"/next/x"};
+    head.pause_in_head = 5900ms;
+    call_plan body{"/next/x", "drums and nets"};
+    body.pause_in_body = 5900ms;
+    this->stop();
+    call_record head_record;
+    call_record body_record;
+    std::thread head_call = this->start_call(slow_head, head, head_record);
+    std::thread body_call = this->start_call(slow_body, body, body_record);
+    head_call.join();
+    body_call.join();
+    this->expect_refused(head_record);
+    this->expect_refused(body_record);
+    this->wait_for_end();
+}
+
+// Guards against a request that is cut although its server finishes in time,
+// and against one that is broken off because its server is silent for long.
+TEST_F(an_instance_that_stops, answers_what_its_servers_finish_in_time)
+{
+    kept_connection early = this->connection_to(0);
+    kept_connection later = this->connection_to(0);
+    ASSERT_TRUE(early.connect());
+    call_record early_record;
+    call_record later_record;
+    std::thread early_call =
+        this->start_call(early, {"/long/x?delay_ms=5600"}, early_record);
+    std::this_thread::sleep_for(300ms);
+    this->stop();
+    this->wait_until(800ms);
+    ASSERT_TRUE(later.connect());
+    std::thread later_call =
+        this->start_call(later, {"/order/x?delay_ms=4300"}, later_record);
+    early_call.join();
+    later_call.join();
+    this->expect_served(early_record);
+    this->expect_served(later_record);
+    this->wait_for_end();
+}
+
+// Guards against a bare closed connection at the end of the stop for a request
+// whose server needs longer, and against one that is broken off sooner than
+// necessary.
+TEST_F(an_instance_that_stops, tells_the_outcome_is_unknown_only_at_the_end)
+{
+    kept_connection connection = this->connection_to(0);
+    ASSERT_TRUE(connection.connect());
+    call_record record;
+    std::thread call =
+        this->start_call(connection, {"/long/x?delay_ms=20000"}, record);
+    std::this_thread::sleep_for(200ms);
+    this->stop();
+    call.join();
+    const std::string text = this->describe(record, true);
+    EXPECT_GE(record.ended, this->stopped_at + 5400ms) << text;
+    EXPECT_TRUE(record.status == 502 || record.status == 504) << text;
+    EXPECT_TRUE(record.complete) << text;
+    this->wait_for_end();
+    EXPECT_NE(this->instances[0]->log().find("event=stop_cut id=" + record.id),
+              std::string::npos)
+        << this->instances[0]->log();
+}
+
+/// The instance stops while all slots of its servers are taken for longer.
+class an_instance_that_stops_without_free_servers
+    : public an_instance_that_stops
+{
+protected:
+    void SetUp() override
+    {
+        a_fleet_on_a_platform::SetUp();
+        this->add_servers(2, 1);
+        this->start_fleet(1);
+    }
+};
+
+// Guards against requests that wait for a server when the stop ends and are cut
+// without an answer.
+TEST_F(an_instance_that_stops_without_free_servers,
+       refuses_the_requests_that_wait)
+{
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    std::vector<call_record> records(6);
+    std::vector<std::thread> calls;
+    for (std::size_t index = 0; index < records.size(); ++index)
+    {
+        connections.push_back(
+            std::make_unique<kept_connection>(0, this->endpoint_of(0)));
+        ASSERT_TRUE(connections.back()->connect());
+        const char* target =
+            index < 2 ? "/long/x?delay_ms=20000" : "/wait/x?delay_ms=100";
+        calls.push_back(
+            this->start_call(*connections.back(), {target}, records[index]));
+        std::this_thread::sleep_for(50ms);
+    }
+    this->stop();
+    for (std::thread& call : calls)
+    {
+        call.join();
+    }
+    for (std::size_t index = 2; index < records.size(); ++index)
+    {
+        this->expect_refused(records[index]);
+    }
+    this->expect_none_lost(records);
+    this->wait_for_end();
+    EXPECT_NE(this->instances[0]->log().find("event=stop_ended"),
+              std::string::npos)
+        << this->instances[0]->log();
+}
+
 /// The operator changes the settings file or the configuration document.
 class an_instance_under_load : public an_instance
 {
@@ -676,3 +949,215 @@
     this->expect_served(this->open_after->call({"/long/x?delay_ms=1200"}));
     this->expect_served(this->open_after->call({"/long/x?delay_ms=700"}));
 }
+
+/// Three instances under mixed load while planned work of all kinds goes on.
+class a_fleet_with_planned_work : public a_fleet_on_a_platform
+{
+protected:
+    static constexpr std::size_t instance_count = 3;
+    static constexpr std::size_t client_count = 36;
+    static constexpr auto duration = 22s;
+
+    void SetUp() override
+    {
+        a_fleet_on_a_platform::SetUp();
+        const char* text = std::getenv("MEDLARBARROW_SOAK_SEED");
+        this->seed = text == nullptr ? 25 : std::strtoul(text, nullptr, 10);
+        this->add_servers(6, 8);
+        this->start_fleet(instance_count);
+    }
+
+    static call_plan choose_plan(std::mt19937_64& random)
+    {
+        const auto between = [&random](unsigned low, unsigned high)
+        {
+            return std::uniform_int_distribution<unsigned>(low, high)(random);
+        };
+        const unsigned kind = between(0, 99);
+        if (kind < 75)
+        {
+            return {fmt::format("/order/x?delay_ms={}", between(5, 120))};
+        }
+        if (kind < 85)
+        {
+            return {fmt::format("/browse/x?delay_ms={}", between(5, 300))};
+        }
+        if (kind < 91)
+        {
+            // Read late, so that the next request on the connection may come
+            // late in a stop.
+            call_plan streamed{fmt::format("/stream/x?chunked={}&bytes={}",
+                                           between(0, 1),
+                                           between(300'000, 9'000'000))};
+            const milliseconds pause(between(0, 1) * between(0, 4000));
+            streamed.before_body = [pause]
+            {
+                std::this_thread::sleep_for(pause);
+            };
+            return streamed;
+        }
+        if (kind < 95)
+        {
+            return {fmt::format("/long/x?delay_ms={}", between(300, 3500))};
+        }
+        call_plan slow{fmt::format("/next/x?delay_ms={}", between(5, 2500)),
+                       std::string(between(100, 20'000), 'b')};
+        (kind < 97 ? slow.pause_in_head : slow.pause_in_body) =
+            milliseconds(between(50, 5500));
+        return slow;
+    }
+
+    /// A client that turns to the next instance when its own accepts no
+    /// connection.
+    void run_client(std::size_t number)
+    {
+        std::mt19937_64 random(this->seed * 1000 + number);
+        std::vector<std::unique_ptr<kept_connection>> connections;
+        for (std::size_t index = 0; index < instance_count; ++index)
+        {
+            connections.push_back(std::make_unique<kept_connection>(
+                index, this->endpoint_of(index)));
+        }
+        std::size_t current = number % instance_count;
+        while (!this->ended)
+        {
+            kept_connection& connection = *connections[current];
+            if (!connection.is_open() && !connection.connect())
+            {
+                current = (current + 1) % instance_count;
+                std::this_thread::sleep_for(10ms);
+                continue;
+            }
+            const call_record record = connection.call(choose_plan(random));
+            const std::lock_guard guard(this->mutex);
+            this->records.push_back(record);
+        }
+    }
+
+    /// Restarts the instances that have ended, and kills those whose grace is
+    /// over.
+    void restart_ended()
+    {
+        for (std::size_t index = 0; index < instance_count; ++index)
+        {
+            const auto stop = this->stop_before(index, steady::now());
+            if (!this->stopping.contains(index))
+            {
+                continue;
+            }
+            const std::string state = this->instances[index]->state();
+            if (state != "running")
+            {
+                EXPECT_TRUE(state.starts_with("exit status ")) << state;
+                this->stopping.erase(index);
+                this->start_instance(index);
+            }
+            else if (steady::now() > *stop + grace)
+            {
+                ADD_FAILURE() << "instance " << index << " did not end";
+                this->instances[index]->send(SIGKILL);
+            }
+        }
+    }
+
+    void do_planned_work(std::mt19937_64& random)
+    {
+        const std::size_t index = random() % instance_count;
+        const unsigned kind = random() % 10;
+        if (kind < 4 && this->stopping.size() < 2 &&
+            !this->stopping.contains(index) && this->readiness(index) == 200)
+        {
+            this->stopping.insert(index);
+            this->stop_instance(index);
+        }
+        else if (kind < 7)
+        {
+            // A process that does not listen yet may not handle the signal.
+            if (this->readiness(index) != 0)
+            {
+                this->instances[index]->send(SIGHUP);
+            }
+        }
+        else
+        {
+            constexpr std::array idle_timeouts{"300ms", "2000ms", "60000ms"};
+            this->store.put(
+                "op/config",
+                make_config(++this->version, idle_timeouts[random() % 3]));
+        }
+    }
+
+    unsigned long seed = 0;
+    unsigned version = 1;
+    std::atomic<bool> ended = false;
+    std::set<std::size_t> stopping;
+    std::vector<call_record> records;
+};
+
+// Guards against requests that are lost when restarts, settings that are read
+// again and new documents come one after the other or at once.
+TEST_F(a_fleet_with_planned_work, loses_no_request)
+{
+    std::vector<std::thread> clients;
+    for (std::size_t number = 0; number < client_count; ++number)
+    {
+        clients.emplace_back(
+            [this, number]
+            {
+                this->run_client(number);
+            });
+    }
+    std::mt19937_64 random(this->seed);
+    const auto end = steady::now() + duration;
+    while (steady::now() < end)
+    {
+        const auto next = steady::now() + milliseconds(100 + random() % 900);
+        while (steady::now() < next)
+        {
+            this->restart_ended();
+            std::this_thread::sleep_for(10ms);
+        }
+        this->do_planned_work(random);
+    }
+    this->ended = true;
+    for (std::thread& client : clients)
+    {
+        client.join();
+    }
+    this->expect_none_lost(this->records);
+    std::map<std::string, unsigned> runs;
+    for (const auto& server : this->servers)
+    {
+        for (const standin::execution& run : server->journal())
+        {
+            const bool repeatable = run.target.starts_with("/browse/");
+            for (const auto& [name, value] : run.headers)
+            {
+                const bool is_id =
+                    boost::beast::iequals(name, request_id_header);
+                if (is_id && !repeatable && ++runs[value] > 1)
+                {
+                    ADD_FAILURE() << value << " ran twice: " << run.target;
+                }
+            }
+        }
+    }
+    std::size_t stop_count = 0;
+    for (const auto& [index, times] : this->stops)
+    {
+        stop_count += times.size();
+    }
+    std::map<unsigned, unsigned> by_status;
+    for (const call_record& record : this->records)
+    {
+        ++by_status[record.status];
+    }
+    std::string statuses;
+    for (const auto& [status, count] : by_status)
+    {
+        statuses += fmt::format(" {}:{}", status, count);
+    }
+    fmt::print("seed {}: {} requests by status{}, {} stops, {} documents\n",
+               this->seed, this->records.size(), statuses, stop_count,
+               this->version - 1);
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -135,6 +135,58 @@
     EXPECT_EQ(this->next<core::action_answer>(this->flow).number, first);
 }
 
+// Guards against a request that waits for a server until its instance has ended
+// and gets no answer.
+TEST_F(a_request_that_may_not_be_repeated,
+       is_refused_when_sending_stops_before_it_has_a_server)
+{
+    const auto place = this->next<core::action_place>(this->flow);
+    this->flow.stop_sending({core::result_code::shutting_down, false, 50ms});
+    EXPECT_EQ(this->next<core::action_cancel>(this->flow).number, place.number);
+    const auto refusal = this->next<core::action_refuse>(this->flow);
+    EXPECT_EQ(refusal.code, core::result_code::shutting_down);
+    EXPECT_EQ(refusal.retry_after, 50ms);
+    EXPECT_FALSE(refusal.outcome_unknown);
+}
+
+// Guards against breaking off a request that its server works on because
+// sending stops.
+TEST_F(a_request_that_may_not_be_repeated, goes_on_when_sending_stops)
+{
+    const auto first = this->send_to(this->flow, "a");
+    this->flow.stop_sending({core::result_code::shutting_down, false, 50ms});
+    this->next<core::action_wait>(this->flow);
+    this->flow.on_send_ended(first, core::send_result::answered, this->now);
+    EXPECT_EQ(this->next<core::action_answer>(this->flow).number, first);
+}
+
+// Guards against another server that gets the request after sending has
+// stopped, and against a refusal that says "not run" for other reasons than the
+// true one.
+TEST_F(a_request_that_may_not_be_repeated,
+       is_refused_when_its_send_does_not_start_after_sending_stops)
+{
+    const auto first = this->send_to(this->flow, "a");
+    this->flow.stop_sending({core::result_code::shutting_down, false, 50ms});
+    this->flow.on_send_ended(first, core::send_result::not_sent, this->now);
+    const auto refusal = this->next<core::action_refuse>(this->flow);
+    EXPECT_EQ(refusal.code, core::result_code::shutting_down);
+    EXPECT_FALSE(refusal.outcome_unknown);
+}
+
+// Guards against a caller that gets no answer at the end of a shutdown, and
+// against one that is told "not run" about a request that runs.
+TEST_F(a_request_that_may_not_be_repeated,
+       ends_with_unknown_outcome_at_a_shortened_deadline)
+{
+    this->send_to(this->flow, "a");
+    this->flow.shorten_deadline(this->now);
+    this->next<core::action_cancel>(this->flow);
+    const auto refusal = this->next<core::action_refuse>(this->flow);
+    EXPECT_EQ(refusal.code, core::result_code::server_timeout);
+    EXPECT_TRUE(refusal.outcome_unknown);
+}
+
 class a_repeatable_request : public a_request
 {
 protected:
@@ -243,9 +295,13 @@
     core::time_point now = start;
     observations observed;
     std::set<core::attempt_number> placing;
+    bool sending_stopped = false;
     for (int step = 0; step < 200 && !flow.is_over(); ++step)
     {
         const core::flow_action action = flow.next(now);
+        RC_ASSERT(!sending_stopped ||
+                  (!std::holds_alternative<core::action_place>(action) &&
+                   !std::holds_alternative<core::action_send>(action)));
         if (const auto* place = std::get_if<core::action_place>(&action))
         {
             placing.insert(place->number);
@@ -320,6 +376,11 @@
         {
             flow.on_caller_gone();
         }
+        else if (event == 11)
+        {
+            flow.stop_sending({core::result_code::shutting_down, false, {}});
+            sending_stopped = true;
+        }
         else
         {
             now += std::chrono::milliseconds(*rc::gen::inRange(1, 400));
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -241,6 +241,43 @@
     EXPECT_EQ(this->backend.connections_accepted(), 3U);
 }
 
+// Guards against requests that wait for a connection until the event loop ends
+// and get no answer, and against breaking off those that a server works on.
+TEST_F(attempts, that_wait_for_a_connection_are_not_sent_when_sending_stops)
+{
+    this->step.server.connections = 2;
+    this->request.target = "/a?delay_ms=300";
+    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
+    std::vector<std::shared_ptr<recording_caller>> callers;
+    std::vector<attempt_end> ends;
+    for (int count = 0; count < 4; ++count)
+    {
+        callers.push_back(std::make_shared<recording_caller>());
+        asio::co_spawn(
+            this->io,
+            [&, caller = callers.back()]() -> asio::awaitable<void>
+            {
+                const auto result = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{}, *caller);
+                ends.push_back(result.end);
+            },
+            asio::detached);
+    }
+    asio::steady_timer timer(this->io, milliseconds(100));
+    timer.async_wait(
+        [this](boost::system::error_code)
+        {
+            this->servers.stop_sending();
+        });
+    while (ends.size() < 4 && this->io.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(ends,
+              (std::vector{attempt_end::not_sent, attempt_end::not_sent,
+                           attempt_end::answered, attempt_end::answered}));
+    EXPECT_EQ(this->backend.journal().size(), 2U);
+}
+
 // Guards against orders that are lost because they are sent on a reused
 // connection that the server is closing.
 TEST_F(attempts_of_orders, each_use_a_new_connection)
