Don't cut requests when SIGTERM is repeated

Cause: a second SIGTERM during a stop ended the event loop at once, with the requests that ran.

Change: a further SIGTERM is logged and changes nothing; the grace goes on. A further SIGINT, from an operator at a terminal, still ends the instance at once.

Measured without the change: goes_on_when_it_is_told_to_stop_again: request q1 /long/x?delay_ms=3000 at instance 0: passed on: true, status 0, complete: false, end of stream after 1.209 s; sent -0.204 s and ended 1.005 s after the last SIGTERM With it the request is answered.

--- a/medlarbarrow/config/log_trace.cpp
+++ b/medlarbarrow/config/log_trace.cpp
@@ -16,13 +16,14 @@
 constexpr milliseconds context_window{10'000};
 
 /// Events about the instance itself that may explain the outcome of a request.
-constexpr std::array<std::string_view, 15> instance_events{
+constexpr std::array<std::string_view, 16> instance_events{
     "document_in_force",  "document_refused",     "document_problem",
     "servers_listed",     "store_lost",           "store_reached",
     "store_history_lost", "owner_unanswered",
     "home_unanswered", // of earlier releases
     "caught_up",          "peer_changes_refused", "started",
-    "stopping",           "stop_ended",           "settings_reloaded"};
+    "stopping",           "stop_ended",           "stop_signal_repeated",
+    "settings_reloaded"};
 
 /// Events about a server or a service.
 constexpr std::array<std::string_view, 5> server_events{
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -475,14 +475,20 @@
             {
                 this->reload();
             }
-            else if (this->stopping)
+            else if (!this->stopping)
+            {
+                this->begin_stop();
+            }
+            // The platform may repeat SIGTERM; that must not end requests. An
+            // operator at a terminal may insist.
+            else if (number == SIGINT)
             {
                 this->end(false);
                 return;
             }
             else
             {
-                this->begin_stop();
+                log::write(log::level::info, "stop_signal_repeated", {});
             }
             this->watch_signals();
         });
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -786,6 +786,24 @@
         << this->instances[0]->log();
 }
 
+// Guards against requests that are cut because the platform, or an operator,
+// sends SIGTERM a second time.
+TEST_F(an_instance_that_stops, goes_on_when_it_is_told_to_stop_again)
+{
+    kept_connection connection = this->connection_to(0);
+    ASSERT_TRUE(connection.connect());
+    call_record record;
+    std::thread call =
+        this->start_call(connection, {"/long/x?delay_ms=3000"}, record);
+    std::this_thread::sleep_for(200ms);
+    this->stop();
+    this->wait_until(1000ms);
+    this->instances[0]->send(SIGTERM);
+    call.join();
+    this->expect_served(record);
+    this->wait_for_end();
+}
+
 /// The instance stops while all slots of its servers are taken for longer.
 class an_instance_that_stops_without_free_servers
     : public an_instance_that_stops
