Refuse late requests in a shutdown of medlard too

One with an Idempotency-Key is refused with unknown outcome, because an earlier request with the same key may have run and only the owner of its record knows.

Measured without the change (entry_test, refuses_requests_that_come_too_late): Expected equality of these values: received.status() Which is: 200 status Which is: 503 With it entry_test passes.

--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -210,6 +210,7 @@
     std::set<session*> sessions;
     std::set<session*> waiting_sessions; ///< in step_wait
     bool draining = false;
+    std::optional<core::shutdown_plan> plan; ///< set by drain()
     std::function<void()> drained;
 };
 
@@ -251,6 +252,7 @@
     asio::awaitable<void> replay(const core::stored_answer& answer);
     asio::awaitable<void> refuse(const core::step_refuse& refusal);
     asio::awaitable<void> refuse_body();
+    asio::awaitable<void> refuse_for_shutdown();
     void finish_attempt(const core::attempt_result& result);
     void abandon();
     void write_log();
@@ -533,6 +535,12 @@
         co_await this->refuse_body();
         co_return false;
     }
+    if (this->shared->plan &&
+        !this->shared->plan->takes(core::boot_clock::now()))
+    {
+        co_await this->refuse_for_shutdown();
+        co_return false;
+    }
     const std::string_view body =
         this->caller->buffered_body().substr(0, digested_body_bytes);
     this->request.facts.content_digest =
@@ -681,6 +689,20 @@
     co_await this->refuse(refusal);
 }
 
+// Refuses a request that could not be served before the end of the shutdown.
+// An order is not said to have "not run", because an earlier request with its
+// key may have: only the owner of its record knows.
+asio::awaitable<void> entry::state::session::refuse_for_shutdown()
+{
+    core::step_refuse refusal;
+    refusal.code = result_code::shutting_down;
+    refusal.outcome_unknown = !this->request.facts.idempotency_key.empty();
+    refusal.retry_after = std::chrono::duration_cast<milliseconds>(
+        this->shared->plan->retry_after());
+    this->caller->close_after_answer();
+    co_await this->refuse(refusal);
+}
+
 asio::awaitable<void>
 entry::state::session::refuse(const core::step_refuse& refusal)
 {
@@ -830,9 +852,11 @@
     }
 }
 
-void entry::drain(std::function<void()> drained)
+void entry::drain(const core::shutdown_plan& plan,
+                  std::function<void()> drained)
 {
     this->self->draining = true;
+    this->self->plan = plan;
     this->self->drained = std::move(drained);
     this->self->close_acceptor();
     for (state::session* session : this->self->sessions)
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <medlarbarrow/config/settings.hpp>
 #include <medlarbarrow/core/node.hpp>
+#include <medlarbarrow/core/shutdown.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 #include <memory>
 
@@ -102,8 +103,9 @@
     void notify_changed();
 
     /// Stops accepting, finishes all requests and closes connections as they
-    /// become idle. Calls `drained` once when all are closed.
-    void drain(std::function<void()> drained);
+    /// become idle. Refuses requests that come too late for the plan. Calls
+    /// `drained` once when all are closed.
+    void drain(const core::shutdown_plan& plan, std::function<void()> drained);
 
     /// Sets a callback that runs on the entry's thread whenever a request has
     /// ended.
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -174,6 +174,7 @@
             return created.error();
         }
         this->entry_point = std::move(*created);
+        this->shutdown_limit = settings.shutdown_limit;
         this->entry_point->on_request_end(
             [&instance_metrics](const request_summary& ended)
             {
@@ -255,6 +256,7 @@
         core::outbox out = this->node.shut_down(now);
         this->send(out);
         this->entry_point->drain(
+            core::shutdown_plan(now.monotonic, this->shutdown_limit, {}),
             [this]
             {
                 this->post_to_control(all_requests_finished{});
@@ -298,6 +300,7 @@
     post_function post_to_control;
     mailbox<proxy_event> events;
     std::unique_ptr<entry> entry_point;
+    std::chrono::milliseconds shutdown_limit{0};
     boost::asio::steady_timer tick_timer;
     boost::asio::steady_timer snapshot_timer;
 };
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -88,12 +88,13 @@
 class entry_that_drains : public entry_with_a_healthy_server
 {
 protected:
-    void drain()
+    void drain(std::chrono::seconds limit = std::chrono::seconds(30))
     {
         this->on_thread(
-            [this]
+            [this, limit]
             {
                 this->entry->drain(
+                    core::shutdown_plan(core::boot_clock::now(), limit, {}),
                     [this]
                     {
                         this->drained = true;
@@ -528,6 +529,39 @@
     EXPECT_EQ(this->counters().answers_cut_off, 0U);
 }
 
+// Guards against requests that are passed on shortly before the instance ends
+// and are cut with it: the connection of a streamed answer is kept, so that its
+// caller sends the next request late. An order is not said to have "not run".
+TEST_F(entry_that_drains, refuses_requests_that_come_too_late)
+{
+    const std::string streamed =
+        get("/reports/1?bytes=" + std::to_string(large_body_bytes));
+    const std::string order =
+        post("/orders", "drums",
+             "Idempotency-Key: " + order_key(now().wall, 4711) + "\r\n");
+    caller first(this->port());
+    caller second(this->port());
+    first.send(streamed);
+    second.send(streamed);
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->backend->journal().size() == 2 &&
+                   this->backend->body_bytes_sent() > 1000000;
+        }));
+    this->drain(std::chrono::seconds(1));
+    std::this_thread::sleep_for(milliseconds(600));
+    EXPECT_EQ(first.receive().status(), 200U);
+    EXPECT_EQ(second.receive().status(), 200U);
+    const answer refused = first.request(get("/reports/1"));
+    expect_refusal(refused, 503, core::result_code::shutting_down, "not-run");
+    EXPECT_EQ(refused["Connection"], "close");
+    EXPECT_FALSE(refused["Retry-After"].empty());
+    expect_refusal(second.request(order), 503, core::result_code::shutting_down,
+                   "unknown");
+    EXPECT_EQ(this->backend->journal().size(), 2U);
+}
+
 // Guards against the reset of connections that the system accepted before the
 // drain, and of requests that arrive as it starts.
 TEST_F(entry_that_drains, serves_connections_opened_just_before_the_drain)
