--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -32,6 +32,11 @@
 /// gone.
 constexpr milliseconds unacknowledged_limit{30000};
 
+/// A caller that accepts no further byte of its answer for this long is taken
+/// to be gone. The idle timeout does not apply, since it may be much shorter:
+/// a connection is not idle while an answer is written.
+constexpr milliseconds stalled_write_limit{30000};
+
 void set_socket_options(asio::ip::tcp::socket& socket)
 {
     error_code ignored;
@@ -202,7 +207,8 @@
             this->idle_start.reset();
             header_deadline = now + this->bounds.header_timeout;
         }
-        if (header_deadline && now >= *header_deadline)
+        if (header_deadline &&
+            (now >= *header_deadline || this->reading_expired))
         {
             co_return head_status::timed_out;
         }
@@ -335,7 +341,8 @@
         {
             continue;
         }
-        if (this->is_gone() || core::boot_clock::now() >= deadline)
+        if (this->is_gone() || this->reading_expired ||
+            core::boot_clock::now() >= deadline)
         {
             co_return false;
         }
@@ -414,7 +421,8 @@
     this->operation_timer.cancel();
 }
 
-// Writes all buffers within the idle timeout. False when that fails.
+// Writes all buffers. False when that fails or the caller accepts no further
+// byte for stalled_write_limit.
 asio::awaitable<bool> caller_connection::write_buffers(
     const std::array<asio::const_buffer, 4>& buffers)
 {
@@ -423,9 +431,20 @@
         co_return false;
     }
     error_code failure;
-    this->start_operation_timer(this->bounds.idle_timeout);
+    this->start_operation_timer(stalled_write_limit);
+    const std::size_t total = asio::buffer_size(buffers);
+    // Called before and after each part of the write.
+    const auto remaining =
+        [this, total](const error_code& part_failure, std::size_t written)
+    {
+        if (!part_failure && written > 0 && written < total)
+        {
+            this->start_operation_timer(stalled_write_limit);
+        }
+        return part_failure ? 0 : total - written;
+    };
     co_await asio::async_write(
-        this->stream, buffers,
+        this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
     this->stop_operation_timer();
     co_return !failure;
@@ -513,6 +532,12 @@
     this->changed.notify();
 }
 
+void caller_connection::expire_reading()
+{
+    this->reading_expired = true;
+    this->changed.notify();
+}
+
 // Closes the socket and tells the waiting operations that the caller is gone.
 void caller_connection::close_socket()
 {
@@ -542,7 +567,8 @@
 {
     error_code ignored;
     const bool arriving = !this->closed && this->idle_start &&
-                          this->stream.socket().available(ignored) > 0;
+                          (this->input.size() > 0 ||
+                           this->stream.socket().available(ignored) > 0);
     return arriving ? std::nullopt : this->idle_start;
 }
 
