--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -5,6 +5,7 @@
 #include <medlarbarrow/core/membership.hpp>
 #include <medlarbarrow/core/placement.hpp>
 #include <medlarbarrow/core/quota.hpp>
+#include <medlarbarrow/core/server_statement.hpp>
 #include <medlarbarrow/core/shards.hpp>
 #include <variant>
 
@@ -19,6 +20,8 @@
     bool wants_reply = false;
     bool leaving = false;
     std::vector<member_report> members;
+    /// Runs of servers that have lately become known to leave.
+    std::vector<leaving_run> leaving_runs;
 };
 
 /// Asks the owner of an account to admit one request under the account's limit.
@@ -62,6 +65,7 @@
     grant_id grant;
     send_outcome outcome = send_outcome::cancelled;
     duration latency{};
+    server_statement statement{}; ///< of the server, in its answer
 };
 
 /// Acknowledges a done_call.
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -104,6 +104,10 @@
     unsigned status = 0; ///< HTTP status; 0 without an answer
     duration latency{};  ///< to the first byte of the answer
     std::optional<stored_answer> answer;
+    bool leaving = false; ///< the server stated that it leaves
+    /// Not sent, because the caller's side withheld the request from the
+    /// server; says nothing about the server.
+    bool withheld = false;
 };
 
 /// State of one server for `explain` and the status pages.
--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <medlarbarrow/core/registry.hpp>
 
 namespace medlarbarrow::core
@@ -10,6 +11,14 @@
 /// is reachable again.
 constexpr duration lapse_grace_period = std::chrono::milliseconds(2300);
 
+/// A server that leaves ends within minutes of its removal. Until then its
+/// entry may come back, for example after an outage of the source.
+constexpr duration gone_mark_lifetime = std::chrono::hours(1);
+constexpr duration mark_check_period = std::chrono::minutes(1);
+/// Marks kept of servers without an entry, which bounds the memory they take
+/// (about 0.5 MB). The one of the server that is gone longest is dropped first.
+constexpr std::size_t max_gone_marks = 4096;
+
 } // namespace
 
 void server_registry::put(const announced_server& announced)
@@ -20,8 +29,91 @@
     {
         return;
     }
-    this->entries[announced.server.name] = {announced, std::nullopt};
+    entry added{announced, std::nullopt};
+    const auto mark = this->marks.find(announced.server.name);
+    if (mark != this->marks.end())
+    {
+        mark->second.gone_since.reset();
+        added.announced.leaving |= announced.started <= mark->second.started;
+    }
+    this->entries[announced.server.name] = std::move(added);
+    ++this->change_count;
+}
+
+bool server_registry::mark_leaving(const leaving_run& run, time_point now)
+{
+    const auto registered = this->entries.find(run.server);
+    const bool has_entry = registered != this->entries.end();
+    if (this->is_marked_leaving(run) ||
+        (has_entry && registered->second.announced.started > run.started))
+    {
+        return false;
+    }
+    leaving_mark& mark = this->marks[run.server];
+    mark.started = run.started;
+    bool known = false;
+    if (has_entry)
+    {
+        announced_server& announced = registered->second.announced;
+        known = announced.leaving && announced.started == run.started;
+        this->change_count += announced.leaving ? 0 : 1;
+        announced.leaving = true;
+        mark.gone_since.reset();
+    }
+    else
+    {
+        mark.gone_since = now;
+        this->drop_old_marks(now);
+    }
+    return !known;
+}
+
+bool server_registry::is_marked_leaving(const leaving_run& run) const
+{
+    const auto mark = this->marks.find(run.server);
+    return mark != this->marks.end() && run.started <= mark->second.started;
+}
+
+// Removes the server's entry and starts the lifetime of its mark.
+void server_registry::erase_entry(const std::string& name, time_point now)
+{
+    this->entries.erase(name);
     ++this->change_count;
+    const auto mark = this->marks.find(name);
+    if (mark != this->marks.end())
+    {
+        mark->second.gone_since = now;
+        this->drop_old_marks(now);
+    }
+}
+
+void server_registry::drop_old_marks(time_point now)
+{
+    this->marks_checked_at = now;
+    std::erase_if(this->marks,
+                  [now](const auto& named_mark)
+                  {
+                      const auto& gone_since = named_mark.second.gone_since;
+                      return gone_since &&
+                             now - *gone_since >= gone_mark_lifetime;
+                  });
+    const auto is_gone = [](const auto& named_mark)
+    {
+        return named_mark.second.gone_since.has_value();
+    };
+    const auto is_older = [](const auto& left, const auto& right)
+    {
+        // A mark of a server that is still announced counts as newest.
+        return left.second.gone_since.value_or(time_point::max()) <
+               right.second.gone_since.value_or(time_point::max());
+    };
+    auto gone_count = static_cast<std::size_t>(
+        std::count_if(this->marks.begin(), this->marks.end(), is_gone));
+    for (; gone_count > max_gone_marks; --gone_count)
+    {
+        this->marks.erase(
+            std::min_element(this->marks.begin(), this->marks.end(), is_older));
+    }
 }
 
 void server_registry::remove(const std::string& name,
@@ -42,21 +134,28 @@
         }
         return;
     }
-    this->entries.erase(it);
-    ++this->change_count;
+    this->erase_entry(name, now);
 }
 
 bool server_registry::tick(time_point now)
 {
-    const std::size_t expired =
-        std::erase_if(this->entries,
-                      [now](const auto& named_entry)
-                      {
-                          return named_entry.second.removal_time &&
-                                 *named_entry.second.removal_time <= now;
-                      });
-    this->change_count += expired;
-    return expired > 0;
+    std::vector<std::string> expired;
+    for (const auto& [name, registered] : this->entries)
+    {
+        if (registered.removal_time && *registered.removal_time <= now)
+        {
+            expired.push_back(name);
+        }
+    }
+    for (const std::string& name : expired)
+    {
+        this->erase_entry(name, now);
+    }
+    if (now - this->marks_checked_at >= mark_check_period)
+    {
+        this->drop_old_marks(now);
+    }
+    return !expired.empty();
 }
 
 const announced_server* server_registry::find(const std::string& name) const
--- a/medlarbarrow/core/registry.hpp
+++ b/medlarbarrow/core/registry.hpp
@@ -29,6 +29,13 @@
     lapsed   ///< its announcements may only have been lost
 };
 
+/// Names one run of a server that leaves.
+struct leaving_run
+{
+    std::string server;
+    std::uint64_t started = 0; ///< Unix milliseconds; 0: unknown
+};
+
 /// The servers of all services. A server that is leaving or has been removed
 /// gets no new requests. After an outage of the source, servers whose
 /// announcements have lapsed stay usable for a grace period, because the live
@@ -36,13 +43,22 @@
 class server_registry
 {
 public:
-    /// Adds or replaces a server. An older run never replaces a newer one.
+    /// Adds or replaces a server. An older run never replaces a newer one. A
+    /// run that is marked as leaving stays so, whatever it announces.
     void put(const announced_server& announced);
 
     /// Removes a server: at once if it has left or was leaving, else after the
     /// grace period.
     void remove(const std::string& name, removal_kind kind, time_point now);
 
+    /// Marks a run, and all earlier ones of the same name, as leaving. Only a
+    /// newer run is used again. True if it is news: the
+    /// run was not known to leave, and no newer one is registered.
+    bool mark_leaving(const leaving_run& run, time_point now);
+
+    /// Whether this run, or a newer one of the same name, is marked as leaving.
+    bool is_marked_leaving(const leaving_run& run) const;
+
     /// Removes servers whose grace period has ended; true if there were any.
     bool tick(time_point now);
 
@@ -69,7 +85,20 @@
         std::optional<time_point> removal_time; ///< end of the grace period
     };
 
+    /// Newest run of a server that is marked as leaving.
+    struct leaving_mark
+    {
+        std::uint64_t started = 0;
+        /// When the server's entry was removed; empty while there is one.
+        std::optional<time_point> gone_since;
+    };
+
+    void erase_entry(const std::string& name, time_point now);
+    void drop_old_marks(time_point now);
+
     std::map<std::string, entry> entries;
+    std::map<std::string, leaving_mark> marks;
+    time_point marks_checked_at{};
     std::uint64_t change_count = 0;
 };
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/core/leaving_news.hpp>
 #include <medlarbarrow/core/readers.hpp>
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
@@ -59,6 +60,20 @@
     return core::boot_clock::now();
 }
 
+const char* name_of(leaving_source from) noexcept
+{
+    switch (from)
+    {
+    case leaving_source::answer:
+        return "answer";
+    case leaving_source::owner_report:
+        return "owner_report";
+    case leaving_source::gossip:
+        break;
+    }
+    return "gossip";
+}
+
 } // namespace
 
 struct fleet::state
@@ -75,7 +90,7 @@
 
     state(asio::io_context& context,
           const fleet_settings& initial_settings,
-          const core::server_registry& registry,
+          core::server_registry& registry,
           fleet_callbacks initial_callbacks,
           core::instance_address address)
         : io(context), settings(initial_settings), servers(registry),
@@ -134,6 +149,8 @@
     void source_update_round();
     void send_source_updates(std::uint64_t since);
 
+    void record_leaving(const core::leaving_run& run, leaving_source from);
+
     core::gossip make_gossip(bool wants_reply, std::size_t report_count);
     void gossip_round();
     bool has_run_for(core::duration period) const;
@@ -153,7 +170,8 @@
 
     asio::io_context& io;
     fleet_settings settings;
-    const core::server_registry& servers;
+    core::server_registry& servers;
+    core::leaving_news news;
     fleet_callbacks callbacks;
     core::instance_address own_address;
     std::uint64_t instance_id; ///< address and incarnation, identifies grants
@@ -256,6 +274,7 @@
     message.wants_reply = wants_reply;
     message.leaving = this->leaving;
     message.members = this->members.make_reports(report_count, now());
+    message.leaving_runs = this->news.take(now());
     return message;
 }
 
@@ -321,6 +340,10 @@
 void fleet::state::on_message(core::instance_address sender,
                               const core::gossip& message)
 {
+    for (const core::leaving_run& run : message.leaving_runs)
+    {
+        this->record_leaving(run, leaving_source::gossip);
+    }
     if (message.leaving)
     {
         this->members.record_leave(sender, message.incarnation, now());
@@ -345,6 +368,22 @@
     }
 }
 
+// Every instance that learns of a leaving run passes it on once, for a limited
+// time, so that it reaches also those that are out of reach of the first.
+void fleet::state::record_leaving(const core::leaving_run& run,
+                                  leaving_source from)
+{
+    if (run.server.empty() || !this->servers.mark_leaving(run, now()))
+    {
+        return;
+    }
+    ++this->counter_values.leaving_runs_learned;
+    log::write(log::level::info, "server_leaving",
+               {log::kv("server", run.server), log::kv("started", run.started),
+                log::kv("source", name_of(from))});
+    this->news.add(run, now());
+}
+
 void fleet::state::on_message(core::instance_address sender,
                               const core::subscribe& message)
 {
@@ -584,6 +623,12 @@
     }
     this->send(sender,
                core::done_reply{message.grant.number, message.shard.number});
+    if (message.statement.leaving)
+    {
+        this->record_leaving(
+            {message.statement.server, message.statement.started},
+            leaving_source::owner_report);
+    }
     this->owned_shards.on_send_ended(message);
 }
 
@@ -639,7 +684,7 @@
 core::result<std::unique_ptr<fleet>>
 fleet::create(asio::io_context& io,
               const fleet_settings& settings,
-              const core::server_registry& servers,
+              core::server_registry& servers,
               fleet_callbacks callbacks)
 {
     error_code failure;
@@ -720,9 +765,15 @@
 
 void fleet::report_send_end(const core::grant_id& grant,
                             core::send_outcome outcome,
-                            core::duration latency)
+                            core::duration latency,
+                            const core::server_statement& statement)
+{
+    this->self->places.report_send_end(grant, outcome, latency, statement);
+}
+
+void fleet::record_leaving(const core::leaving_run& run, leaving_source from)
 {
-    this->self->places.report_send_end(grant, outcome, latency);
+    this->self->record_leaving(run, from);
 }
 
 void fleet::record_source_confirmation()
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -57,6 +57,15 @@
     std::uint64_t owners_passed_over = 0;
     std::uint64_t local_decisions = 0; ///< decided here as no owner answered
     std::uint64_t second_shards_asked = 0;
+    std::uint64_t leaving_runs_learned = 0; ///< not counting the source
+};
+
+/// From where an instance learns that a run of a server leaves.
+enum class leaving_source : std::uint8_t
+{
+    answer,       ///< the header of an answer of the server
+    owner_report, ///< the report of a send's end to this instance as owner
+    gossip
 };
 
 /// Membership, calls to owners and owner decisions of one instance.
@@ -66,12 +75,12 @@
     using place_handler = std::function<void(const core::place_answer&)>;
     using admit_handler = std::function<void(const core::quota_answer&)>;
 
-    /// Opens the UDP socket. Errors: settings_invalid (the own address is not
-    /// IPv4), or a system error.
+    /// Opens the UDP socket. Marks servers that leave in `servers`. Errors:
+    /// settings_invalid (the own address is not IPv4), or a system error.
     static core::result<std::unique_ptr<fleet>>
     create(boost::asio::io_context& io,
            const fleet_settings& settings,
-           const core::server_registry& servers,
+           core::server_registry& servers,
            fleet_callbacks callbacks);
 
     ~fleet();
@@ -98,10 +107,16 @@
     /// Withdraws a place request that has not been answered yet.
     void withdraw(const core::grant_id& grant);
 
-    /// Reports to the owner how the send of a grant ended.
+    /// Reports to the owner how the send of a grant ended, and what the server
+    /// stated about itself.
     void report_send_end(const core::grant_id& grant,
                          core::send_outcome outcome,
-                         core::duration latency);
+                         core::duration latency,
+                         const core::server_statement& statement = {});
+
+    /// Marks a run of a server as leaving and passes that on to the other
+    /// instances.
+    void record_leaving(const core::leaving_run& run, leaving_source from);
 
     /// Records that the source has confirmed the state known here.
     void record_source_confirmation();
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -59,6 +59,21 @@
     return index < elements.size() ? elements[index].get<Value>() : Value{};
 }
 
+/// Reads an unsigned number that messages of earlier releases lack. Throws for
+/// a value of another type, which get() would convert.
+std::uint64_t optional_unsigned(const json& elements, std::size_t index)
+{
+    if (index >= elements.size())
+    {
+        return 0;
+    }
+    if (!elements[index].is_number_unsigned())
+    {
+        throw std::out_of_range("unsigned number");
+    }
+    return elements[index].get<std::uint64_t>();
+}
+
 /// Starts the array of a message with its kind.
 json header(message_kind kind)
 {
@@ -83,6 +98,16 @@
     elements.push_back(message.wants_reply);
     elements.push_back(message.leaving);
     elements.push_back(std::move(members));
+    if (!message.leaving_runs.empty())
+    {
+        json runs = json::array();
+        for (const core::leaving_run& run : message.leaving_runs)
+        {
+            runs.push_back(run.server);
+            runs.push_back(run.started);
+        }
+        elements.push_back(std::move(runs));
+    }
     return elements;
 }
 
@@ -160,6 +185,13 @@
     elements.push_back(static_cast<int>(message.outcome));
     elements.push_back(to_ms(message.latency));
     elements.push_back(message.shard.number);
+    // Few sends end with a statement, so it takes bytes only then.
+    if (!message.statement.is_empty())
+    {
+        elements.push_back(message.statement.server);
+        elements.push_back(message.statement.started);
+        elements.push_back(message.statement.leaving);
+    }
     return elements;
 }
 
@@ -214,6 +246,16 @@
              milliseconds(members.at(index + 2).get<std::uint32_t>()),
              members.at(index + 3).get<bool>()});
     }
+    if (elements.size() > 6)
+    {
+        const json& runs = elements.at(6);
+        for (std::size_t index = 0; index + 1 < runs.size(); index += 2)
+        {
+            message.leaving_runs.push_back(
+                {runs.at(index).get<std::string>(),
+                 optional_unsigned(runs, index + 1)});
+        }
+    }
     return message;
 }
 
@@ -281,6 +323,9 @@
     message.outcome = static_cast<core::send_outcome>(outcome);
     message.latency = from_ms(elements.at(5));
     message.shard.number = optional_element<std::uint32_t>(elements, 6);
+    message.statement.server = optional_element<std::string>(elements, 7);
+    message.statement.started = optional_unsigned(elements, 8);
+    message.statement.leaving = optional_element<bool>(elements, 9);
     return message;
 }
 
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -440,6 +440,8 @@
     add_counter("fleet_local_decisions_total", fleet_counts.local_decisions);
     add_counter("fleet_second_shards_asked_total",
                 fleet_counts.second_shards_asked);
+    add_counter("leaving_runs_learned_total",
+                fleet_counts.leaving_runs_learned);
     add_counter("second_sends_total", gateway_counts.second_sends);
     add_counter("server_connections_opened_total",
                 gateway_counts.servers.connections_opened);
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -339,21 +339,52 @@
     this->attempts[action.number].grant = grant;
 }
 
-// Sends the request to the server if it is announced here and accepts requests.
-// The owner's list of servers may be newer or older than that of this instance.
+// Whether this run of the server is announced here and accepts requests. The
+// owner's list of servers may be newer or older than that of this instance.
+bool gateway::state::may_send(const core::leaving_run& run,
+                              const std::string& service) const
+{
+    const core::announced_server* announced = this->servers.find(run.server);
+    return announced != nullptr && !announced->leaving &&
+           announced->started == run.started && announced->service == service;
+}
+
+// Reports the end of the attempt's grant with what is known of its server.
+void gateway::state::session::report_end(attempt& current,
+                                         core::send_outcome outcome,
+                                         core::duration latency)
+{
+    if (!current.grant)
+    {
+        return;
+    }
+    core::server_statement& statement = current.statement;
+    statement.leaving =
+        statement.leaving || this->shared->servers.is_marked_leaving(
+                                 {statement.server, statement.started});
+    this->shared->peers.report_send_end(*current.grant, outcome, latency,
+                                        statement);
+    current.grant.reset();
+}
+
+// Sends the request to the server if it may still be sent there.
 void gateway::state::session::start_send(const core::action_send& action)
 {
     attempt& current = this->attempts[action.number];
     const core::announced_server* announced =
         this->shared->servers.find(action.server);
-    if (announced == nullptr || announced->leaving ||
-        announced->service != this->service)
+    const core::leaving_run run{action.server,
+                                announced == nullptr ? 0 : announced->started};
+    current.statement = {run.server, run.started};
+    if (!this->shared->may_send(run, this->service))
     {
+        const bool leaving = announced != nullptr && announced->leaving;
         current.ending = "not_usable_here";
         current.ended_at = now();
-        this->shared->peers.report_send_end(
-            *current.grant, core::send_outcome::unreachable, {});
-        current.grant.reset();
+        this->report_end(current,
+                         leaving ? core::send_outcome::cancelled
+                                 : core::send_outcome::unreachable,
+                         {});
         this->flow->on_send_ended(action.number, core::send_result::not_sent,
                                   now());
         return;
@@ -364,20 +395,7 @@
     step.deadline = this->deadline;
     step.expected_server = action.server;
     current.active_send = std::make_shared<send>(
-        this->caller,
-        // A weak pointer, because the session owns the send.
-        [weak = this->weak_from_this(), number = action.number,
-         number_at_start = this->request_number]
-        {
-            const auto self = weak.lock();
-            if (!self || self->request_number != number_at_start || !self->flow)
-            {
-                return false;
-            }
-            self->flow->on_answer_started(number);
-            self->progress.notify();
-            return true;
-        });
+        this->caller, this->make_send_callbacks(action.number, run));
     ++this->summary.attempts;
     asio::co_spawn(this->shared->io,
                    current.active_send->run(this->shared->connections, step,
@@ -398,6 +416,60 @@
                    });
 }
 
+send_callbacks
+gateway::state::session::make_send_callbacks(std::size_t number,
+                                             const core::leaving_run& run)
+{
+    // Weak pointers, because the session owns the send.
+    const auto current_session =
+        [weak = this->weak_from_this(), number_at_start = this->request_number]
+    {
+        const auto self = weak.lock();
+        const bool is_current =
+            self && self->request_number == number_at_start && self->flow;
+        return is_current ? self : nullptr;
+    };
+    send_callbacks callbacks;
+    callbacks.claim = [current_session, number]
+    {
+        const auto self = current_session();
+        if (!self)
+        {
+            return false;
+        }
+        self->flow->on_answer_started(number);
+        self->progress.notify();
+        return true;
+    };
+    callbacks.may_send =
+        [shared = this->shared, run, requested_service = this->service]
+    {
+        return shared->may_send(run, requested_service);
+    };
+    callbacks.on_answer_header = [shared = this->shared, current_session,
+                                  number,
+                                  run](const core::attempt_result& result)
+    {
+        if (result.leaving)
+        {
+            shared->peers.record_leaving(run, leaving_source::answer);
+        }
+        if (const auto self = current_session())
+        {
+            self->on_answer_header(number, result);
+        }
+    };
+    return callbacks;
+}
+
+// Keeps what the server stated for the report to the owner, which is made even
+// if the send is cancelled before its answer is complete.
+void gateway::state::session::on_answer_header(
+    std::size_t number, const core::attempt_result& result)
+{
+    this->attempts[number].statement.leaving = result.leaving;
+}
+
 void gateway::state::session::on_send_end(std::size_t number,
                                           const core::attempt_result& result)
 {
@@ -405,12 +477,7 @@
     const auto [end, outcome] = classify_send(result);
     current.ending = core::name_of(end);
     current.ended_at = now();
-    if (current.grant)
-    {
-        this->shared->peers.report_send_end(*current.grant, outcome,
-                                            result.latency);
-        current.grant.reset();
-    }
+    this->report_end(current, outcome, result.latency);
     this->summary.outcome = result_code::ok;
     if (this->flow)
     {
@@ -429,21 +496,11 @@
         current.ending = "cancelled";
         current.ended_at = now();
     }
-    if (current.grant)
+    if (current.grant && !current.active_send)
     {
-        if (current.active_send)
-        {
-            this->shared->peers.report_send_end(
-                *current.grant, core::send_outcome::cancelled, {});
-        }
-        else
-        {
-            this->shared->peers.withdraw(*current.grant);
-            this->shared->peers.report_send_end(
-                *current.grant, core::send_outcome::cancelled, {});
-        }
-        current.grant.reset();
+        this->shared->peers.withdraw(*current.grant);
     }
+    this->report_end(current, core::send_outcome::cancelled, {});
 }
 
 // Carries out the decisions of the request flow until the request is over.
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -78,6 +78,8 @@
     void on_session_end(session& ended);
     void run_maintenance();
     void notify_if_drained();
+    bool may_send(const core::leaving_run& run,
+                  const std::string& service) const;
 
     asio::io_context& io;
     gateway_settings settings;
@@ -127,6 +129,7 @@
     {
         std::optional<core::grant_id> grant;
         std::string server;
+        core::server_statement statement; ///< of the server, for the owner
         std::shared_ptr<send> active_send;
         std::string ending; ///< how the send ended, for the log
         core::time_point ended_at{};
@@ -142,6 +145,13 @@
     core::place_request make_place_request(const core::action_place& action);
     void start_place(const core::action_place& action);
     void start_send(const core::action_send& action);
+    send_callbacks make_send_callbacks(std::size_t number,
+                                       const core::leaving_run& run);
+    void on_answer_header(std::size_t number,
+                          const core::attempt_result& result);
+    void report_end(attempt& current,
+                    core::send_outcome outcome,
+                    core::duration latency);
     void on_send_end(std::size_t number, const core::attempt_result& result);
     void cancel(std::size_t number);
     asio::awaitable<void> deliver(std::size_t number);
--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -25,6 +25,8 @@
     std::string request_id = "Medlar-Request-Id"; ///< servers may echo it
     std::string deadline = "Medlar-Deadline-Ms";  ///< remaining milliseconds
     std::string not_run = "Medlar-Not-Run"; ///< "1": the request did not run
+    /// "1": the server leaves and wants no new requests; empty: not read.
+    std::string leaving = "Server-Leaving";
     std::string account; ///< carries the account's name; empty: not sent
     std::string expected_server; ///< carries the server's name; empty: not sent
     std::string reserved_prefix =
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -386,7 +386,8 @@
 
 void place_calls::report_send_end(const core::grant_id& grant,
                                   core::send_outcome outcome,
-                                  core::duration latency)
+                                  core::duration latency,
+                                  const core::server_statement& statement)
 {
     const auto position = this->grants.find(grant.number);
     if (position == this->grants.end())
@@ -395,7 +396,8 @@
     }
     const open_grant granted = std::move(position->second);
     this->grants.erase(position);
-    this->report({granted.shard, grant, outcome, latency}, granted.owner);
+    this->report({granted.shard, grant, outcome, latency, statement},
+                 granted.owner);
 }
 
 // Gives up a request that waits at the target, or a grant that is not used.
@@ -404,6 +406,7 @@
     this->report({at.shard,
                   {this->parts.instance_id, number},
                   core::send_outcome::cancelled,
+                  {},
                   {}},
                  at.owner);
 }
--- a/medlarbarrow/net/place_calls.hpp
+++ b/medlarbarrow/net/place_calls.hpp
@@ -54,10 +54,12 @@
     /// Withdraws a place request that has not been answered yet.
     void withdraw(const core::grant_id& grant);
 
-    /// Reports to the owner how the send of a grant ended.
+    /// Reports to the owner how the send of a grant ended, and what the server
+    /// stated about itself.
     void report_send_end(const core::grant_id& grant,
                          core::send_outcome outcome,
-                         core::duration latency);
+                         core::duration latency,
+                         const core::server_statement& statement = {});
 
     void on_reply(core::instance_address sender,
                   const core::place_reply& message);
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -94,18 +94,22 @@
     }
     const core::announced_server* registered =
         this->registry.find(server->server.name);
-    const bool state_changed =
-        registered == nullptr || registered->leaving != server->leaving;
-    if (state_changed && !this->in_first_listing)
+    const std::optional<bool> left_before =
+        registered == nullptr ? std::nullopt
+                              : std::optional(registered->leaving);
+    this->server_names[item.key] = server->server.name;
+    this->registry.put(*server);
+    // The registry, not the item, says whether the server leaves: a run that is
+    // marked as leaving may still be announced as ready at each heartbeat.
+    const bool leaving = this->registry.find(server->server.name)->leaving;
+    if (left_before != leaving && !this->in_first_listing)
     {
         log::write(log::level::info,
-                   server->leaving ? "server_leaving" : "server_announced",
+                   leaving ? "server_leaving" : "server_announced",
                    {log::kv("server", server->server.name),
                     log::kv("service", server->service),
                     log::kv("revision", item.revision)});
     }
-    this->server_names[item.key] = server->server.name;
-    this->registry.put(*server);
 }
 
 // Stores and applies an item; true if its revision is new. An item of the
--- a/medlarbarrow/net/send.cpp
+++ b/medlarbarrow/net/send.cpp
@@ -27,7 +27,9 @@
         }
         return {send_result::answered, send_outcome::succeeded};
     case attempt_end::not_sent:
-        return {send_result::not_sent, send_outcome::unreachable};
+        return {send_result::not_sent, result.withheld
+                                           ? send_outcome::cancelled
+                                           : send_outcome::unreachable};
     case attempt_end::refused_not_run:
         return {send_result::not_run, send_outcome::shed};
     case attempt_end::timed_out:
@@ -42,8 +44,8 @@
 }
 
 send::send(std::shared_ptr<caller_connection> target,
-           std::function<bool()> claim_answer)
-    : caller(std::move(target)), claim(std::move(claim_answer))
+           send_callbacks initial_callbacks)
+    : caller(std::move(target)), callbacks(std::move(initial_callbacks))
 {
 }
 
@@ -84,6 +86,16 @@
     return this->cancelled || this->caller->is_gone();
 }
 
+bool send::may_send() const
+{
+    return this->callbacks.may_send();
+}
+
+void send::on_answer_header(const core::attempt_result& result)
+{
+    this->callbacks.on_answer_header(result);
+}
+
 asio::awaitable<bool>
 send::write_head(const answer_head& received, std::string_view part, bool last)
 {
@@ -111,7 +123,7 @@
     {
         co_return !this->cancelled;
     }
-    if (this->cancelled || !this->claim || !this->claim())
+    if (this->cancelled || !this->callbacks.claim())
     {
         co_return false;
     }
--- a/medlarbarrow/net/send.hpp
+++ b/medlarbarrow/net/send.hpp
@@ -20,14 +20,23 @@
 /// Classifies the result of an attempt.
 send_classification classify_send(const core::attempt_result& result);
 
+/// Functions that a send calls. All are required.
+struct send_callbacks
+{
+    /// Called before an answer is streamed to the caller. If it returns false,
+    /// the answer is dropped.
+    std::function<bool()> claim;
+    /// Whether the server may still get the request.
+    std::function<bool()> may_send;
+    /// Called with the result up to the header of the answer.
+    std::function<void(const core::attempt_result&)> on_answer_header;
+};
+
 /// Runs one attempt at a server and buffers its answer.
 class send : public caller_channel
 {
 public:
-    /// `claim` is called before an answer is streamed to the caller. If it
-    /// returns false, the answer is dropped.
-    send(std::shared_ptr<caller_connection> caller,
-         std::function<bool()> claim);
+    send(std::shared_ptr<caller_connection> caller, send_callbacks callbacks);
 
     asio::awaitable<core::attempt_result> run(upstream& servers,
                                               core::step_send step,
@@ -49,12 +58,14 @@
                                      bool last) override;
     asio::awaitable<bool> write_part(std::string_view part, bool last) override;
     bool is_gone() const override;
+    bool may_send() const override;
+    void on_answer_header(const core::attempt_result& result) override;
 
 private:
     asio::awaitable<bool> buffer_part(std::string_view part, bool last);
 
     std::shared_ptr<caller_connection> caller;
-    std::function<bool()> claim;
+    send_callbacks callbacks;
     answer_head head;
     std::string body;
     bool streaming = false;
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -159,7 +159,8 @@
         timed_out,
         caller_gone,
         caller_failed,
-        bad_answer
+        bad_answer,
+        withheld
     };
 
     exchange(const asio::any_io_executor& executor,
@@ -398,6 +399,11 @@
     return stated || status == 421;
 }
 
+bool upstream::states_leaving(const http::response_header<>& header) const
+{
+    return !this->names.leaving.empty() && header[this->names.leaving] == "1";
+}
+
 std::string upstream::request_head(const core::step_send& step,
                                    const checked_request& request,
                                    const trace::context& span,
@@ -493,14 +499,20 @@
 }
 
 // Gets an idle or new connection. Waits while this instance's share of the
-// server's connections is in use. False when the attempt stopped or the
-// connection failed.
+// server's connections is in use. False when the attempt stopped, the
+// connection failed or the request may no longer be sent.
 asio::awaitable<bool> upstream::acquire(const core::step_send& step,
-                                        exchange& current)
+                                        exchange& current,
+                                        const caller_channel& caller)
 {
     server_pool& pool = *current.pool;
     while (!current.stopped)
     {
+        if (!caller.may_send())
+        {
+            current.stop(exchange::stop_cause::withheld);
+            break;
+        }
         if (!step.fresh_connection && this->take_idle(step, current))
         {
             co_return true;
@@ -598,6 +610,11 @@
         {
             current->stop(exchange::stop_cause::caller_failed);
         }
+        // The wait for the caller's body may have been long.
+        if (current->bytes_written == 0 && !caller->may_send())
+        {
+            current->stop(exchange::stop_cause::withheld);
+        }
         if (current->stopped)
         {
             break;
@@ -709,6 +726,7 @@
         co_return false;
     }
     current.not_run = this->states_not_run(header);
+    current.result.leaving = this->states_leaving(header);
     current.age_limit = this->times.max_idle_age;
     if (const auto timeout = keep_alive_timeout(header))
     {
@@ -812,6 +830,10 @@
                                             caller_channel& caller)
 {
     bool proceed = co_await this->read_head(*current, request);
+    if (proceed)
+    {
+        caller.on_answer_header(current->result);
+    }
     current->part_buffer.resize(this->part_bytes);
     while (proceed)
     {
@@ -891,6 +913,7 @@
     else if (current.bytes_written == 0)
     {
         result.end = attempt_end::not_sent;
+        result.withheld = current.cause == exchange::stop_cause::withheld;
     }
     else if (current.cause == exchange::stop_cause::timed_out)
     {
@@ -933,7 +956,7 @@
         current->stop(exchange::stop_cause::caller_gone);
     }
     exchange::arm(current, step.deadline);
-    const bool acquired = co_await this->acquire(step, *current);
+    const bool acquired = co_await this->acquire(step, *current, caller);
     if (acquired)
     {
         current->send_start = core::boot_clock::now();
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -64,6 +64,17 @@
 
     virtual bool is_gone() const = 0;
 
+    /// Whether the request may still go to the server. Asked after each wait
+    /// that precedes the first byte: the server may have begun to leave.
+    virtual bool may_send() const
+    {
+        return true;
+    }
+
+    /// Called when the header of the server's answer has been read, before
+    /// anything is passed on. `result` is complete up to the answer's body.
+    virtual void on_answer_header(const core::attempt_result& /*result*/) {}
+
     /// Called when the caller disconnects. Set only during an attempt.
     std::function<void()> on_disconnect;
 };
@@ -130,7 +141,8 @@
     std::shared_ptr<server_pool> pool_of(const core::backend_server& server);
     std::size_t share_of(const core::backend_server& server) const noexcept;
     asio::awaitable<bool> acquire(const core::step_send& step,
-                                  exchange& current);
+                                  exchange& current,
+                                  const caller_channel& caller);
     bool take_idle(const core::step_send& step, exchange& current);
     asio::awaitable<bool> connect(const core::step_send& step,
                                   exchange& current);
@@ -156,6 +168,7 @@
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
+    bool states_leaving(const http::response_header<>& header) const;
     std::string request_head(const core::step_send& step,
                              const checked_request& request,
                              const trace::context& span,
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -112,6 +112,7 @@
     bool chunked = false;
     bool not_run = false;
     bool close = false;
+    bool leaving = false;
     std::string request_id; ///< Medlar-Request-Id header; none if empty
 };
 
@@ -122,6 +123,7 @@
         std::string_view(
             http::obsolete_reason(http::int_to_status(plan.status))));
     text += plan.not_run ? "Medlar-Not-Run: 1\r\n" : "";
+    text += plan.leaving ? "Server-Leaving: 1\r\n" : "";
     if (!plan.request_id.empty())
     {
         text += fmt::format("Medlar-Request-Id: {}\r\n", plan.request_id);
@@ -185,6 +187,7 @@
     server_faults modes;
     std::vector<execution> executions;
     std::atomic<std::uint64_t> connections_accepted{0};
+    std::atomic<std::uint64_t> requests_received{0};
     std::atomic<std::uint64_t> body_bytes_sent{0};
 
     server_faults current_modes() const
@@ -265,7 +268,9 @@
                             record.target.starts_with("/load");
     const server_faults modes = this->current_modes();
     const bool full = this->queued_requests >= this->options.queue;
+    this->requests_received += is_control ? 0 : 1;
     response_plan plan;
+    plan.leaving = modes.leaving;
     if (!is_control && (modes.shed || modes.drain || full))
     {
         plan.status = 503;
@@ -357,6 +362,7 @@
     if (connection_open)
     {
         response_plan plan;
+        plan.leaving = modes.leaving;
         std::uniform_real_distribution<double> uniform(0.0, 1.0);
         plan.status = uniform(this->random) < modes.error_fraction ? 500 : 200;
         plan.body =
@@ -512,6 +518,7 @@
     modes.health_lies = requested.value("health_lies", modes.health_lies);
     modes.shed = requested.value("shed", modes.shed);
     modes.drain = requested.value("drain", modes.drain);
+    modes.leaving = requested.value("leaving", modes.leaving);
     plan.body = "ok";
 }
 
@@ -567,6 +574,11 @@
     return this->self->executions;
 }
 
+std::uint64_t server::requests_received() const
+{
+    return this->self->requests_received;
+}
+
 std::uint64_t server::connections_accepted() const
 {
     return this->self->connections_accepted;
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -38,6 +38,7 @@
     bool health_lies = false;  ///< /healthz reports healthy, /load no load
     bool shed = false;         ///< answers 503 with Medlar-Not-Run: 1
     bool drain = false;        ///< sheds requests, then closes; unhealthy
+    bool leaving = false;      ///< all answers carry Server-Leaving: 1
 };
 
 /// Record of one execution of a request.
@@ -71,6 +72,8 @@
     void set_modes(const server_faults& modes);
     /// All executions, in the order in which they started.
     std::vector<execution> journal() const;
+    /// Requests received, control requests left out, also those that were shed.
+    std::uint64_t requests_received() const;
     std::uint64_t connections_accepted() const;
 
     /// Bytes of response bodies written to the sockets.
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
+#include <medlarbarrow/core/leaving_news.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 using namespace medlarbarrow;
@@ -15,6 +17,13 @@
     gossip.revision = 17;
     gossip.wants_reply = true;
     gossip.members = {{0x0a010005, 77, 250ms, false}, {9, 8, 1s, true}};
+    core::gossip news = gossip;
+    news.leaving_runs = {{"i-4", 1'700'000'000'000}, {"i-5", 0}};
+    core::done_call statement{
+        {"specbook", 3}, {7, 9}, core::send_outcome::succeeded, 5ms};
+    statement.statement.server = "i-4";
+    statement.statement.started = 1'700'000'000'000;
+    statement.statement.leaving = true;
     core::place_call place;
     place.shard = {"specbook", 3};
     place.request.grant = {7, 9};
@@ -28,6 +37,8 @@
     place.request.content_digest = 0xfeedbeefcafef00d;
     return {
         gossip,
+        news,
+        statement,
         core::subscribe{5},
         core::source_update{7, 20ms, 6, "changes"},
         core::admit_call{3, "loft"},
@@ -69,9 +80,129 @@
         message.members.push_back(
             {0xfffffff0U + index % 16, 1'700'000'000'000, 7999ms, false});
     }
+    core::leaving_news news;
+    for (std::uint32_t index = 0; index < 100; ++index)
+    {
+        news.add({"i-" + std::to_string(index), 1'700'000'000'000}, {});
+    }
+    message.leaving_runs = news.take({});
+    EXPECT_GE(message.leaving_runs.size(), 8U);
     EXPECT_LE(net::encode_message(message).size(), net::max_datagram_bytes);
 }
 
+// Guards against a field that the round trip loses on both ways.
+TEST(fleet_messages, carry_what_a_server_has_stated)
+{
+    for (const core::fleet_message& message : sample_messages())
+    {
+        const auto decoded =
+            net::decode_message(net::encode_message(message)).value();
+        if (const auto* sent = std::get_if<core::done_call>(&message))
+        {
+            const auto& received = std::get<core::done_call>(decoded).statement;
+            EXPECT_EQ(received.server, sent->statement.server);
+            EXPECT_EQ(received.started, sent->statement.started);
+            EXPECT_EQ(received.leaving, sent->statement.leaving);
+        }
+        if (const auto* sent = std::get_if<core::gossip>(&message))
+        {
+            const auto& received = std::get<core::gossip>(decoded).leaving_runs;
+            ASSERT_EQ(received.size(), sent->leaving_runs.size());
+            for (std::size_t index = 0; index < received.size(); ++index)
+            {
+                EXPECT_EQ(received[index].server,
+                          sent->leaving_runs[index].server);
+                EXPECT_EQ(received[index].started,
+                          sent->leaving_runs[index].started);
+            }
+        }
+    }
+}
+
+// Messages as the release before the servers' statements sends them.
+namespace earlier_release
+{
+
+const nlohmann::json done_call{6, "specbook", 7, 9, 0, 5, 3};
+const nlohmann::json gossip{1,     5,     17,
+                            false, false, {167837701, 77, 250, false}};
+
+} // namespace earlier_release
+
+// Guards against an instance of this release that does not understand one of
+// the release before it, which runs beside it during a replacement.
+TEST(messages_of_the_earlier_release, are_understood)
+{
+    const auto done =
+        net::decode_message(nlohmann::json::to_cbor(earlier_release::done_call))
+            .value();
+    EXPECT_EQ(std::get<core::done_call>(done).latency, 5ms);
+    EXPECT_TRUE(std::get<core::done_call>(done).statement.is_empty());
+    const auto gossip =
+        net::decode_message(nlohmann::json::to_cbor(earlier_release::gossip))
+            .value();
+    EXPECT_EQ(std::get<core::gossip>(gossip).members.size(), 1U);
+    EXPECT_TRUE(std::get<core::gossip>(gossip).leaving_runs.empty());
+}
+
+// Guards against an instance of the earlier release that does not understand
+// one of this release: it reads elements by their position and ignores further
+// ones at the end.
+TEST(messages_to_the_earlier_release, begin_with_all_that_it_reads)
+{
+    core::done_call done{
+        {"specbook", 3}, {7, 9}, core::send_outcome::succeeded, 5ms};
+    EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(done)),
+              earlier_release::done_call);
+    done.statement = {"i-4", 5, true};
+    core::gossip gossip;
+    gossip.incarnation = 5;
+    gossip.revision = 17;
+    gossip.members = {{0x0a010005, 77, 250ms, false}};
+    EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(gossip)),
+              earlier_release::gossip);
+    gossip.leaving_runs = {{"i-4", 5}};
+    const auto starts_with =
+        [](const core::fleet_message& message, const nlohmann::json& earlier)
+    {
+        auto sent = nlohmann::json::from_cbor(net::encode_message(message));
+        ASSERT_GT(sent.size(), earlier.size());
+        sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(earlier.size()),
+                   sent.end());
+        EXPECT_EQ(sent, earlier);
+    };
+    starts_with(done, earlier_release::done_call);
+    starts_with(gossip, earlier_release::gossip);
+}
+
+// Guards against values of a wrong type or range in the further elements that
+// are converted into a mark, or end the process.
+TEST(messages_with_bad_statements, are_refused)
+{
+    const auto is_refused =
+        [](nlohmann::json message, std::vector<nlohmann::json> further)
+    {
+        for (nlohmann::json& element : further)
+        {
+            message.push_back(std::move(element));
+        }
+        return !net::decode_message(nlohmann::json::to_cbor(message));
+    };
+    for (const nlohmann::json& started :
+         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("5"),
+          nlohmann::json(nullptr)})
+    {
+        EXPECT_TRUE(
+            is_refused(earlier_release::done_call, {"i-4", started, true}));
+        EXPECT_TRUE(is_refused(earlier_release::gossip,
+                               {nlohmann::json::array({"i-4", started})}));
+    }
+    EXPECT_TRUE(is_refused(earlier_release::done_call, {7, 5, true}));
+    EXPECT_TRUE(is_refused(earlier_release::done_call, {"i-4", 5, "yes"}));
+    EXPECT_TRUE(
+        is_refused(earlier_release::gossip, {nlohmann::json::array({7, 5})}));
+}
+
 // Guards against a crash on a damaged datagram, and against any other error
 // code than peer_message_invalid.
 RC_GTEST_PROP(damaged_datagrams, are_refused_or_decoded_without_a_crash, ())
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/gateway.hpp>
 #include <standin/server.hpp>
 #include <thread>
@@ -52,7 +53,8 @@
                   const std::string& address,
                   std::uint16_t port,
                   const std::string& seed,
-                  const core::server_registry& servers)
+                  core::server_registry announced)
+        : servers(std::move(announced))
     {
         net::fleet_settings fleet_options;
         fleet_options.self = {address, port};
@@ -76,18 +78,21 @@
         callbacks.on_peer_confirmation = [] {};
         callbacks.set_reading_enabled = [](bool) {};
         this->peers =
-            net::fleet::create(io, fleet_options, servers, callbacks).value();
+            net::fleet::create(io, fleet_options, this->servers, callbacks)
+                .value();
         net::gateway_settings settings;
         settings.caller_endpoint = {address, 0};
         settings.data_centre = "suva";
         settings.names.account = "Medlar-Account";
         this->entry =
-            net::gateway::create(io, settings, *this->peers, servers).value();
+            net::gateway::create(io, settings, *this->peers, this->servers)
+                .value();
         EXPECT_FALSE(this->entry->start());
         this->address = address;
         this->peers->start();
     }
 
+    core::server_registry servers;
     std::unique_ptr<net::fleet> peers;
     std::unique_ptr<net::gateway> entry;
     std::string address;
@@ -121,6 +126,7 @@
         new_document->accounts = {account};
         this->document = new_document;
         const std::uint16_t port = free_port();
+        this->fleet_port = port;
         for (int index = 0; index < 3; ++index)
         {
             const std::string address = "127.0.7." + std::to_string(index + 1);
@@ -263,6 +269,7 @@
     }
 
     double rate = 1000.0;
+    std::uint16_t fleet_port = 0;
     std::unique_ptr<boost::asio::io_context> io =
         std::make_unique<boost::asio::io_context>(1);
     core::server_registry servers;
@@ -418,6 +425,204 @@
     }
 }
 
+/// Given the fleet and the names of one server, "s0", that states something
+/// about itself in its answers.
+class a_gateway_fleet_with_a_server_that_states : public a_gateway_fleet
+{
+protected:
+    standin::server& stating_server()
+    {
+        return *this->started_servers[0];
+    }
+
+    std::uint64_t received() const
+    {
+        return this->started_servers[0]->requests_received();
+    }
+
+    /// Puts the server as ready into the registries of all instances.
+    void announce(std::uint64_t started)
+    {
+        this->on_thread(
+            [this, started]
+            {
+                core::announced_server announced = *this->servers.find("s0");
+                announced.started = started;
+                for (const auto& instance : this->fleet)
+                {
+                    instance->servers.put(announced);
+                }
+                return true;
+            });
+    }
+
+    /// Sends nine requests to the instance at once, as many as three servers
+    /// run. Fewer would leave out a server that has not been used lately.
+    void call_at_once(std::size_t instance)
+    {
+        std::vector<std::future<test_answer>> answers;
+        for (int count = 0; count < 9; ++count)
+        {
+            answers.push_back(std::async(
+                std::launch::async,
+                [this, instance]
+                {
+                    return this->call(instance, "/order/x?delay_ms=100",
+                                      test_key, "one");
+                }));
+        }
+        for (auto& answer : answers)
+        {
+            EXPECT_EQ(answer.get().status, 200U);
+        }
+    }
+
+    /// Sends requests to the instance until one more has reached the server;
+    /// false after 10 s.
+    bool call_until_received(std::size_t instance)
+    {
+        const std::uint64_t before = this->received();
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (this->received() == before &&
+               std::chrono::steady_clock::now() < limit)
+        {
+            this->call_at_once(instance);
+        }
+        return this->received() > before;
+    }
+
+    bool is_marked(std::size_t instance, const core::leaving_run& run)
+    {
+        return this->on_thread(
+            [this, instance, &run]
+            {
+                return this->fleet[instance]->servers.is_marked_leaving(run);
+            });
+    }
+
+    /// Waits until the instance knows that the run leaves; false after 10 s.
+    bool wait_until_marked(std::size_t instance, const core::leaving_run& run)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (std::chrono::steady_clock::now() < limit)
+        {
+            if (this->is_marked(instance, run))
+            {
+                return true;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
+    /// Sends a message to the instance from an address that no instance has.
+    void send_as_peer(std::size_t instance, const core::fleet_message& message)
+    {
+        boost::asio::io_context peer_io;
+        boost::asio::ip::udp::socket peer(
+            peer_io, {boost::asio::ip::make_address(peer_address), 0});
+        peer.send_to(
+            boost::asio::buffer(net::encode_message(message)),
+            {boost::asio::ip::make_address(this->fleet[instance]->address),
+             this->fleet_port});
+    }
+
+    static constexpr const char* peer_address = "127.0.7.9";
+};
+
+// Guards against an instance that goes on to use a server that has said in an
+// answer that it leaves, although the registry still announces that run as
+// ready, and against others that never learn it, or do not use the next run.
+TEST_F(a_gateway_fleet_with_a_server_that_states, sends_it_nothing_as_it_leaves)
+{
+    standin::server_faults modes;
+    modes.leaving = true;
+    this->stating_server().set_modes(modes);
+    ASSERT_TRUE(this->call_until_received(0));
+    const std::uint64_t before = this->received();
+    this->announce(1);
+    this->call_at_once(0);
+    this->call_at_once(0);
+    EXPECT_EQ(this->received(), before);
+    for (const std::size_t instance : {1U, 2U})
+    {
+        EXPECT_TRUE(this->wait_until_marked(instance, {"s0", 1}));
+        this->announce(1);
+        this->call_at_once(instance);
+        this->call_at_once(instance);
+    }
+    EXPECT_EQ(this->received(), before);
+    this->stating_server().set_modes({});
+    this->announce(2);
+    for (const std::size_t instance : {0U, 1U, 2U})
+    {
+        EXPECT_TRUE(this->call_until_received(instance));
+    }
+}
+
+// Guards against a request that was granted the server by an owner that does
+// not know yet that it leaves, and is sent by an instance that does. At least
+// one of the two instances is not the owner.
+TEST_F(a_gateway_fleet_with_a_server_that_states, sends_no_granted_request)
+{
+    for (const std::size_t instance : {0U, 1U})
+    {
+        const standin::server& server = *this->started_servers[instance];
+        const std::uint64_t before = server.requests_received();
+        this->on_thread(
+            [this, instance]
+            {
+                return this->fleet[instance]->servers.mark_leaving(
+                    {"s" + std::to_string(instance), 1},
+                    core::boot_clock::now());
+            });
+        this->call_at_once(instance);
+        EXPECT_EQ(server.requests_received(), before);
+    }
+}
+
+// Guards against an owner that ignores the reports of other instances that a
+// server leaves, and against a report about a run before the present one.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_believed_by_its_owner)
+{
+    this->announce(5);
+    core::done_call report;
+    report.shard = {"desk", 0};
+    report.grant = {
+        std::uint64_t{boost::asio::ip::make_address_v4(peer_address).to_uint()}
+            << 32U,
+        1};
+    report.statement = {"s0", 4, true};
+    this->send_as_peer(1, report);
+    report.statement = {"s1", 1, true};
+    this->send_as_peer(1, report);
+    EXPECT_TRUE(this->wait_until_marked(1, {"s1", 1}));
+    EXPECT_FALSE(this->is_marked(1, {"s0", 4}));
+    report.statement = {"s0", 5, true};
+    this->send_as_peer(1, report);
+    EXPECT_TRUE(this->wait_until_marked(1, {"s0", 5}));
+    const auto learned = this->on_thread(
+        [this]
+        {
+            return this->fleet[1]->peers->counters().leaving_runs_learned;
+        });
+    EXPECT_EQ(learned, 2U);
+}
+
+// Guards against gossip about leaving servers that is ignored, or not passed
+// on to the instances that did not hear it.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_made_known_by_gossip)
+{
+    core::gossip news;
+    news.incarnation = 1;
+    news.leaving_runs = {{"s0", 1}, {"", 1}, {"unknown", 7}};
+    this->send_as_peer(1, news);
+    for (const std::size_t instance : {0U, 1U, 2U})
+    {
+        EXPECT_TRUE(this->wait_until_marked(instance, {"s0", 1}));
+    }
+}
+
 /// Fixture: the account may send 10 requests per second.
 class a_gateway_fleet_with_a_small_limit : public a_gateway_fleet
 {
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -270,6 +270,22 @@
     EXPECT_EQ(this->calls.counters().local_decisions, 1U);
 }
 
+// Guards against an owner that does not learn that a server leaves, and places
+// the requests of all other instances there.
+TEST_F(a_caller_of_two_shards, tells_the_owner_that_a_server_leaves)
+{
+    this->place();
+    const std::uint32_t first = this->shard_asked(0);
+    this->reply(first, core::placed{"s3", 100ms, 200ms});
+    this->calls.report_send_end(this->grant, core::send_outcome::succeeded,
+                                90ms, {"s3", 5, true});
+    const auto& done = std::get<core::done_call>(this->sent.back().message);
+    EXPECT_EQ(this->sent.back().recipient, this->owner_of(first));
+    EXPECT_EQ(done.statement.server, "s3");
+    EXPECT_EQ(done.statement.started, 5U);
+    EXPECT_TRUE(done.statement.leaving);
+}
+
 // Guards against a withdrawn request that keeps its place at one of the two
 // shards.
 TEST_F(a_caller_of_two_shards, withdraws_at_both)
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -142,6 +142,22 @@
     }
 }
 
+// Guards against a server that leaves and gets requests from its owner.
+TEST_F(a_service_owner, does_not_use_a_server_that_is_marked_as_leaving)
+{
+    core::server_registry registry;
+    registry.put(server("a"));
+    registry.put(server("b"));
+    this->owner.set_servers(registry.usable("specbook"), this->now);
+    registry.mark_leaving({"a", 1}, this->now);
+    registry.put(server("a"));
+    this->owner.set_servers(registry.usable("specbook"), this->now);
+    for (int index = 0; index < 3; ++index)
+    {
+        EXPECT_EQ(this->place(this->request()), "b");
+    }
+}
+
 // Guards against refusing requests when all servers answer with errors: if all
 // suspected servers were excluded, none would be left.
 TEST_F(a_service_owner, uses_suspected_servers_when_most_are_suspected)
--- a/tests/recording_caller.hpp
+++ b/tests/recording_caller.hpp
@@ -26,6 +26,7 @@
                                      bool last) override
     {
         this->status = head.status;
+        this->lines = head.lines;
         const bool written = co_await this->write_part(part, last);
         co_return written;
     }
@@ -45,6 +46,17 @@
         return false;
     }
 
+    bool may_send() const override
+    {
+        return this->sending_allowed;
+    }
+
+    void on_answer_header(const core::attempt_result& result) override
+    {
+        this->stated = result;
+        this->stated_first = this->status == 0;
+    }
+
     /// Tells the attempt that the caller has disconnected.
     void disconnect()
     {
@@ -58,9 +70,13 @@
     static constexpr std::size_t max_recorded_bytes = 1U << 20U;
 
     unsigned status = 0;
+    net::header_lines lines;
     std::string body;
     bool complete = false;
     bool fails_writes = false; ///< every write reports a gone caller
+    bool sending_allowed = true;
+    std::optional<core::attempt_result> stated; ///< by the answer's header
+    bool stated_first = false; ///< before anything was passed on
 };
 
 } // namespace medlarbarrow::tests
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -38,6 +38,14 @@
     core::attempt_result run(const std::string& target,
                              milliseconds deadline = milliseconds(10000),
                              milliseconds disconnect_after = milliseconds(0))
+    {
+        return this->run_at(this->servers, target, deadline, disconnect_after);
+    }
+
+    core::attempt_result run_at(net::upstream& connections,
+                                const std::string& target,
+                                milliseconds deadline = milliseconds(10000),
+                                milliseconds disconnect_after = milliseconds(0))
     {
         this->request.target = target;
         this->step.deadline = core::boot_clock::now() + deadline;
@@ -48,9 +56,9 @@
             this->io,
             [&]() -> asio::awaitable<void>
             {
-                result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{},
-                    *this->caller);
+                result = co_await connections.attempt(this->step, this->request,
+                                                      net::trace::context{},
+                                                      *this->caller);
                 ended = true;
             },
             asio::detached);
@@ -71,6 +79,28 @@
         return result;
     }
 
+    /// Runs one attempt of the caller that the test has set.
+    core::attempt_result run_with(std::shared_ptr<recording_caller> with)
+    {
+        this->step.deadline = core::boot_clock::now() + milliseconds(10000);
+        core::attempt_result result;
+        bool ended = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void>
+            {
+                result = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{}, *with);
+                ended = true;
+            },
+            asio::detached);
+        this->io.restart();
+        while (!ended && this->io.run_one() > 0)
+        {
+        }
+        return result;
+    }
+
     void set_mode(bool standin::server_faults::*mode)
     {
         standin::server_faults modes;
@@ -132,6 +162,108 @@
     EXPECT_EQ(this->caller->status, 0U);
 }
 
+// Guards against a header of a leaving server that is overlooked, that is told
+// only after the answer has been passed on, or that the caller does not get.
+TEST_F(attempts, tell_that_the_server_leaves_before_they_pass_on_the_answer)
+{
+    EXPECT_FALSE(this->run("/a").leaving);
+    this->set_mode(&standin::server_faults::leaving);
+    EXPECT_TRUE(this->run("/a").leaving);
+    ASSERT_TRUE(this->caller->stated);
+    EXPECT_TRUE(this->caller->stated->leaving);
+    EXPECT_TRUE(this->caller->stated_first);
+    EXPECT_NE(this->caller->lines.find("Server-Leaving: 1\r\n"),
+              std::string::npos);
+    standin::server_faults refusing;
+    refusing.leaving = true;
+    refusing.shed = true;
+    this->backend.set_modes(refusing);
+    const auto refused = this->run("/a");
+    EXPECT_EQ(refused.end, attempt_end::refused_not_run);
+    EXPECT_TRUE(refused.leaving);
+}
+
+// Guards against a request whose body arrives late, and that is sent although
+// its server has begun to leave meanwhile.
+TEST_F(attempts, that_wait_for_their_body_check_again_before_they_write)
+{
+    class slow_caller : public recording_caller
+    {
+    public:
+        asio::awaitable<net::body_part> read_body(std::uint64_t,
+                                                  const bool&) override
+        {
+            asio::steady_timer body_arrives(co_await asio::this_coro::executor,
+                                            milliseconds(30));
+            co_await body_arrives.async_wait(asio::use_awaitable);
+            this->sending_allowed = false;
+            co_return net::body_part{{}, true, false};
+        }
+    };
+    this->request.target = "/a";
+    const auto result = this->run_with(std::make_shared<slow_caller>());
+    EXPECT_EQ(result.end, attempt_end::not_sent);
+    EXPECT_TRUE(result.withheld);
+    EXPECT_EQ(this->backend.requests_received(), 0U);
+}
+
+// Guards against an interface without the header that reads it nevertheless.
+TEST_F(attempts, read_no_leaving_header_without_a_name)
+{
+    net::http_interface names;
+    names.leaving.clear();
+    net::upstream without{this->io.get_executor(), config::entry_bounds{},
+                          names};
+    this->set_mode(&standin::server_faults::leaving);
+    EXPECT_FALSE(this->run_at(without, "/a").leaving);
+}
+
+// Guards against a request that waits for a connection, and is sent although
+// its server has begun to leave meanwhile.
+TEST_F(attempts, that_may_no_longer_be_sent_write_nothing)
+{
+    // The instance's share is two connections; both are in use.
+    this->step.server.connections = 2;
+    this->request.target = "/a?delay_ms=300";
+    this->step.deadline = core::boot_clock::now() + milliseconds(10000);
+    std::vector<core::attempt_result> results(3);
+    std::vector<std::shared_ptr<recording_caller>> callers;
+    std::size_t ended = 0;
+    const auto start = [&](std::size_t index)
+    {
+        callers.push_back(std::make_shared<recording_caller>());
+        asio::co_spawn(
+            this->io,
+            [&, index]() -> asio::awaitable<void>
+            {
+                results[index] = co_await this->servers.attempt(
+                    this->step, this->request, net::trace::context{},
+                    *callers[index]);
+                ++ended;
+            },
+            asio::detached);
+    };
+    start(0);
+    start(1);
+    start(2);
+    asio::steady_timer begins_to_leave(this->io, milliseconds(100));
+    begins_to_leave.async_wait(
+        [&](boost::system::error_code)
+        {
+            callers[2]->sending_allowed = false;
+        });
+    while (ended < 3 && this->io.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(results[0].end, attempt_end::answered);
+    EXPECT_EQ(results[1].end, attempt_end::answered);
+    EXPECT_EQ(results[2].end, attempt_end::not_sent);
+    EXPECT_TRUE(results[2].withheld);
+    EXPECT_EQ(this->servers.counters().connections_opened, 2U);
+    EXPECT_EQ(this->servers.counters().connections_reused, 0U);
+    EXPECT_EQ(this->backend.requests_received(), 2U);
+}
+
 // Guards against forwarding part of a short answer that ends early, which would
 // make a retry impossible.
 TEST_F(attempts, whose_short_answer_ends_early_forward_nothing)
