Keep to the time for which a server turns an instance away

Cause: a server that refused a request as not run could not say for how long it wants nothing more; the same instance asked it again at once.

Change: with a refusal as not run, status 503, the server may state Retry-After. The instance keeps the time for that run of the server (core/server_holds) and starts no send to it before, also after a wait for a connection; a grant of it counts as not sent and is placed elsewhere. The owner learns the time with done_call and does not choose the server for that instance. Place calls also exclude servers that are held beyond the request's objective, for an owner that does not know yet. If all usable servers of a service hold the instance off, its requests are refused at once with the time until the first wants work again.

--- a/medlarbarrow/config/log_trace.cpp
+++ b/medlarbarrow/config/log_trace.cpp
@@ -25,9 +25,9 @@
     "stopping",           "settings_reloaded"};
 
 /// Events about a server or a service.
-constexpr std::array<std::string_view, 5> server_events{
-    "server_suspected", "server_trusted", "server_leaving", "server_removed",
-    "server_announced"};
+constexpr std::array<std::string_view, 6> server_events{
+    "server_suspected", "server_trusted",   "server_leaving",
+    "server_removed",   "server_announced", "server_turned_away"};
 
 /// Parses the value at the start of `rest` and removes it from `rest`.
 std::string consume_value(std::string_view& rest)
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -105,6 +105,9 @@
     duration latency{};  ///< to the first byte of the answer
     std::optional<stored_answer> answer;
     bool leaving = false; ///< the server stated that it leaves
+    /// For how long a server that refused the request as not run wants nothing
+    /// from this instance.
+    std::optional<duration> retry_after{};
     /// Not sent, because the caller's side withheld the request from the
     /// server; says nothing about the server.
     bool withheld = false;
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -89,6 +89,10 @@
 
 constexpr milliseconds min_retry_after{100};
 
+/// Instances whose holds are kept. Above the number of instances of the largest
+/// fleet; further ones keep to their holds themselves.
+constexpr std::size_t max_held_instances = 2048;
+
 double in_seconds(duration value)
 {
     return std::chrono::duration_cast<real_seconds>(value).count();
@@ -343,6 +347,70 @@
     return servers_now;
 }
 
+void placement::hold(std::uint64_t instance,
+                     const server_statement& stated,
+                     time_point now)
+{
+    if (stated.retry_after <= duration(0))
+    {
+        return;
+    }
+    for (auto& [held_instance, server_holds] : this->holds)
+    {
+        server_holds.drop_ended(now);
+    }
+    std::erase_if(this->holds,
+                  [](const auto& instance_holds)
+                  {
+                      return instance_holds.second.size() == 0;
+                  });
+    if (this->holds.contains(instance) ||
+        this->holds.size() < max_held_instances)
+    {
+        this->holds[instance].hold(stated.server, stated.started,
+                                   stated.retry_after, now);
+    }
+}
+
+// Whether the server must not be chosen for this request: the request excludes
+// it, or it has turned the request's instance away.
+bool placement::is_closed_to(const server_state& server,
+                             const place_request& request,
+                             time_point now) const
+{
+    const std::string& name = server.announced.server.name;
+    const auto held = this->holds.find(request.grant.instance);
+    return contains_name(request.excluded_servers, name) ||
+           (held != this->holds.end() &&
+            held->second.remaining(name, server.announced.started, now) >
+                duration(0));
+}
+
+// If all servers have turned the instance away, waiting is of no use: returns a
+// refusal with the time until the first of them wants work again.
+std::optional<place_refused>
+placement::refusal_if_turned_away(const place_request& request,
+                                  time_point now) const
+{
+    const auto held = this->holds.find(request.grant.instance);
+    if (held == this->holds.end() || this->servers.empty())
+    {
+        return std::nullopt;
+    }
+    duration shortest = max_hold;
+    for (const auto& [name, server] : this->servers)
+    {
+        shortest = std::min(shortest, held->second.remaining(
+                                          name, server.announced.started, now));
+    }
+    if (shortest <= duration(0))
+    {
+        return std::nullopt;
+    }
+    return place_refused{result_code::no_healthy_server,
+                         std::chrono::ceil<milliseconds>(shortest)};
+}
+
 // Returns the server of lowest cost that has a free slot, or nullptr. A request
 // that has waited long also takes a suspected server, or a place beyond the
 // slots of a trusted one. A small random cost spreads requests over servers
@@ -367,7 +435,7 @@
         if (server.running >= this->request_limit(server, waited_long, now) ||
             !this->is_eligible(server, servers_now.service_fails,
                                waited_long) ||
-            contains_name(request.excluded_servers, name))
+            this->is_closed_to(server, request, now))
         {
             continue;
         }
@@ -402,7 +470,7 @@
     {
         if (server.suspected && server.running == 0 &&
             now - server.last_probe >= probe_interval &&
-            !contains_name(request.excluded_servers, name))
+            !this->is_closed_to(server, request, now))
         {
             server.last_probe = now;
             return &server;
@@ -503,6 +571,10 @@
     {
         return this->make_refusal(result_code::no_healthy_server, now);
     }
+    if (const auto refusal = this->refusal_if_turned_away(request, now))
+    {
+        return *refusal;
+    }
     if (request.repeat && !this->repeats.has_room(now))
     {
         return this->make_refusal(result_code::server_shed, now);
@@ -718,6 +790,11 @@
                  this->make_refusal(result_code::deadline_unreachable, now)});
             continue;
         }
+        if (const auto refusal = this->refusal_if_turned_away(request, now))
+        {
+            answers.push_back({request.grant, *refusal});
+            continue;
+        }
         if (server_state* server =
                 this->choose_server(request, waited_long, servers_now, now))
         {
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -10,6 +10,8 @@
 #include <medlarbarrow/core/registry.hpp>
 #include <medlarbarrow/core/repeat_budget.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
+#include <medlarbarrow/core/server_holds.hpp>
+#include <medlarbarrow/core/server_statement.hpp>
 #include <optional>
 #include <random>
 #include <string>
@@ -131,6 +133,12 @@
                        duration latency,
                        time_point now);
 
+    /// Records that a server has turned an instance away. Until the stated time
+    /// has passed, no request of the instance gets that server.
+    void hold(std::uint64_t instance,
+              const server_statement& stated,
+              time_point now);
+
     /// Gives up a request that waits or a grant that was not used.
     void cancel(const grant_id& grant, time_point now);
 
@@ -225,6 +233,11 @@
         std::uint32_t free_places_after_long_wait = 0;
     };
 
+    bool is_closed_to(const server_state& server,
+                      const place_request& request,
+                      time_point now) const;
+    std::optional<place_refused>
+    refusal_if_turned_away(const place_request& request, time_point now) const;
     overview make_overview(time_point now);
     void count_free_places(overview& servers, time_point now) const;
     bool is_eligible(const server_state& server,
@@ -256,6 +269,9 @@
     std::mt19937_64 random;
     std::map<std::string, server_state> servers;
     std::map<grant_id, active_grant> grants;
+    /// Servers that turned instances away, by instance. Instances without a
+    /// hold have no entry.
+    std::map<std::uint64_t, server_holds> holds;
     std::vector<queued_request> queue;
     std::unordered_map<std::uint32_t, work_time> work_times;
     std::unordered_map<std::uint64_t, crash_record> crashes;
--- a/medlarbarrow/core/server_statement.hpp
+++ b/medlarbarrow/core/server_statement.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <medlarbarrow/core/types.hpp>
 #include <string>
 
 namespace medlarbarrow::core
@@ -13,11 +14,12 @@
     std::string server;
     std::uint64_t started = 0; ///< Unix milliseconds; 0: unknown
     bool leaving = false;      ///< accepts no new requests
+    duration retry_after{};    ///< wants nothing from the instance for so long
 
     /// True if there is nothing to tell anyone.
     bool is_empty() const noexcept
     {
-        return !this->leaving;
+        return !this->leaving && this->retry_after <= duration(0);
     }
 };
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -758,6 +758,20 @@
                                     std::move(handler));
 }
 
+std::vector<const core::announced_server*>
+fleet::usable_servers(const std::string& service)
+{
+    core::shard_directory& shards = this->self->shards;
+    std::vector<const core::announced_server*> usable;
+    const std::uint32_t count = shards.count(service);
+    for (std::uint32_t number = 0; number < count; ++number)
+    {
+        const auto& servers = shards.servers({service, number});
+        usable.insert(usable.end(), servers.begin(), servers.end());
+    }
+    return usable;
+}
+
 void fleet::withdraw(const core::grant_id& grant)
 {
     this->self->places.withdraw(grant);
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -104,6 +104,11 @@
                          core::place_request request,
                          place_handler handler);
 
+    /// Servers of the service that may get new requests, as known here. Valid
+    /// until the registry changes.
+    std::vector<const core::announced_server*>
+    usable_servers(const std::string& service);
+
     /// Withdraws a place request that has not been answered yet.
     void withdraw(const core::grant_id& grant);
 
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -191,6 +191,10 @@
         elements.push_back(message.statement.server);
         elements.push_back(message.statement.started);
         elements.push_back(message.statement.leaving);
+        // Rounded up, so that the owner does not choose the server too early.
+        elements.push_back(
+            std::chrono::ceil<milliseconds>(message.statement.retry_after)
+                .count());
     }
     return elements;
 }
@@ -326,6 +330,10 @@
     message.statement.server = optional_element<std::string>(elements, 7);
     message.statement.started = optional_unsigned(elements, 8);
     message.statement.leaving = optional_element<bool>(elements, 9);
+    constexpr std::uint64_t max_hold_ms =
+        std::chrono::duration_cast<milliseconds>(core::max_hold).count();
+    message.statement.retry_after =
+        milliseconds(std::min(optional_unsigned(elements, 10), max_hold_ms));
     return message;
 }
 
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -442,6 +442,7 @@
                 fleet_counts.second_shards_asked);
     add_counter("leaving_runs_learned_total",
                 fleet_counts.leaving_runs_learned);
+    add_counter("turned_away_total", gateway_counts.turned_away);
     add_counter("second_sends_total", gateway_counts.second_sends);
     add_counter("server_connections_opened_total",
                 gateway_counts.servers.connections_opened);
--- a/medlarbarrow/net/gateway.hpp
+++ b/medlarbarrow/net/gateway.hpp
@@ -28,6 +28,7 @@
     std::uint64_t answered = 0;
     std::uint64_t callers_gone = 0;
     std::uint64_t second_sends = 0;
+    std::uint64_t turned_away = 0; ///< refusals of servers with a Retry-After
     std::map<core::result_code, std::uint64_t> refusals;
     upstream_counters servers;
 };
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -17,6 +17,10 @@
 /// present.
 constexpr milliseconds not_ready_retry_after{100};
 
+/// Names of held servers in a place call take at most so many bytes, so that
+/// the call fits a datagram.
+constexpr std::size_t max_excluded_bytes = 400;
+
 /// Upper limit of a request's duration, whatever its route says.
 constexpr milliseconds max_request_duration{60000};
 
@@ -310,6 +314,11 @@
     request.time_to_deadline =
         std::max(this->deadline - current_time, core::duration(0));
     request.excluded_servers = action.excluded_servers;
+    for (std::string& name :
+         this->shared->held_servers(this->service, request.time_to_objective))
+    {
+        request.excluded_servers.push_back(std::move(name));
+    }
     request.content_digest = this->content_digest;
     return request;
 }
@@ -317,6 +326,13 @@
 void gateway::state::session::start_place(const core::action_place& action)
 {
     this->attempts.resize(std::max(this->attempts.size(), action.number + 1));
+    if (const auto wait = this->shared->time_until_wanted(this->service))
+    {
+        this->flow->on_placed(
+            action.number,
+            core::place_refused{result_code::no_healthy_server, *wait}, now());
+        return;
+    }
     this->shared->counts.second_sends += action.repeat ? 1 : 0;
     const std::uint64_t number_at_start = this->request_number;
     const auto answered = std::make_shared<bool>(false);
@@ -346,7 +362,78 @@
 {
     const core::announced_server* announced = this->servers.find(run.server);
     return announced != nullptr && !announced->leaving &&
-           announced->started == run.started && announced->service == service;
+           announced->started == run.started && announced->service == service &&
+           this->holds.remaining(run.server, run.started, now()) ==
+               core::duration(0);
+}
+
+// Takes in what a run of a server states about itself in an answer, at once and
+// whatever becomes of the request.
+void gateway::state::record_answer_header(const core::leaving_run& run,
+                                          const core::attempt_result& result)
+{
+    if (result.leaving)
+    {
+        this->peers.record_leaving(run, leaving_source::answer);
+    }
+    if (!result.retry_after)
+    {
+        return;
+    }
+    this->holds.hold(run.server, run.started, *result.retry_after, now());
+    ++this->counts.turned_away;
+    const std::chrono::duration<double> wait = *result.retry_after;
+    log::write(log::level::info, "server_turned_away",
+               {log::kv("server", run.server), log::kv("started", run.started),
+                log::kv("seconds", fmt::format("{:.3f}", wait.count()))});
+}
+
+// If every usable server of the service has turned this instance away, returns
+// the time until the first of them wants work again.
+std::optional<core::duration>
+gateway::state::time_until_wanted(const std::string& service)
+{
+    if (this->holds.drop_ended(now()))
+    {
+        return std::nullopt;
+    }
+    core::duration shortest = core::max_hold;
+    const auto usable = this->peers.usable_servers(service);
+    for (const core::announced_server* announced : usable)
+    {
+        shortest = std::min(shortest,
+                            this->holds.remaining(announced->server.name,
+                                                  announced->started, now()));
+    }
+    const bool all_held = !usable.empty() && shortest > core::duration(0);
+    return all_held ? std::optional(shortest) : std::nullopt;
+}
+
+// Servers of the service that want nothing from this instance for longer than
+// the given time. An owner that does not know it yet, such as a new one, must
+// not choose them: after a few grants that are not sent, a request is refused.
+// Those that are free sooner may still get the request if it has to wait.
+std::vector<std::string>
+gateway::state::held_servers(const std::string& service, core::duration time)
+{
+    std::vector<std::string> held;
+    if (this->holds.drop_ended(now()))
+    {
+        return held;
+    }
+    std::size_t bytes = 0;
+    for (const core::announced_server* announced :
+         this->peers.usable_servers(service))
+    {
+        const std::string& name = announced->server.name;
+        if (this->holds.remaining(name, announced->started, now()) > time &&
+            bytes + name.size() <= max_excluded_bytes)
+        {
+            bytes += name.size();
+            held.push_back(name);
+        }
+    }
+    return held;
 }
 
 // Reports the end of the attempt's grant with what is known of its server.
@@ -362,6 +449,8 @@
     statement.leaving =
         statement.leaving || this->shared->servers.is_marked_leaving(
                                  {statement.server, statement.started});
+    statement.retry_after = this->shared->holds.remaining(
+        statement.server, statement.started, now());
     this->shared->peers.report_send_end(*current.grant, outcome, latency,
                                         statement);
     current.grant.reset();
@@ -375,15 +464,18 @@
         this->shared->servers.find(action.server);
     const core::leaving_run run{action.server,
                                 announced == nullptr ? 0 : announced->started};
-    current.statement = {run.server, run.started};
+    current.statement.server = run.server;
+    current.statement.started = run.started;
     if (!this->shared->may_send(run, this->service))
     {
-        const bool leaving = announced != nullptr && announced->leaving;
+        // The owner learns why from the report; its list may be older.
+        const bool known_here =
+            announced != nullptr && announced->service == this->service;
         current.ending = "not_usable_here";
         current.ended_at = now();
         this->report_end(current,
-                         leaving ? core::send_outcome::cancelled
-                                 : core::send_outcome::unreachable,
+                         known_here ? core::send_outcome::cancelled
+                                    : core::send_outcome::unreachable,
                          {});
         this->flow->on_send_ended(action.number, core::send_result::not_sent,
                                   now());
@@ -450,10 +542,7 @@
                                   number,
                                   run](const core::attempt_result& result)
     {
-        if (result.leaving)
-        {
-            shared->peers.record_leaving(run, leaving_source::answer);
-        }
+        shared->record_answer_header(run, result);
         if (const auto self = current_session())
         {
             self->on_answer_header(number, result);
@@ -552,8 +641,14 @@
         else if (const auto* refusal =
                      std::get_if<core::action_refuse>(&action))
         {
+            core::duration retry_after = refusal->retry_after;
+            if (!refusal->outcome_unknown)
+            {
+                retry_after = this->shared->time_until_wanted(this->service)
+                                  .value_or(retry_after);
+            }
             co_await this->refuse(refusal->code, refusal->outcome_unknown,
-                                  refusal->retry_after);
+                                  retry_after);
         }
         else
         {
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <medlarbarrow/core/request_flow.hpp>
+#include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/core/split.hpp>
 #include <medlarbarrow/net/caller.hpp>
 #include <medlarbarrow/net/gateway.hpp>
@@ -80,6 +81,11 @@
     void notify_if_drained();
     bool may_send(const core::leaving_run& run,
                   const std::string& service) const;
+    void record_answer_header(const core::leaving_run& run,
+                              const core::attempt_result& result);
+    std::optional<core::duration> time_until_wanted(const std::string& service);
+    std::vector<std::string> held_servers(const std::string& service,
+                                          core::duration time);
 
     asio::io_context& io;
     gateway_settings settings;
@@ -91,6 +97,7 @@
     signal capacity_freed; ///< a session has ended, or stop() was called
     config::entry_bounds bounds;
     upstream connections;
+    core::server_holds holds; ///< servers that turned this instance away
     std::shared_ptr<const document_view> view;
     core::traffic_splitter splitter;
     gateway_counters counts;
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -90,6 +90,7 @@
         {
             continue;
         }
+        owned.placement.hold(ended.grant.instance, ended.statement, now());
         if (ended.outcome == core::send_outcome::cancelled)
         {
             owned.placement.cancel(ended.grant, now());
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <medlarbarrow/core/orders.hpp>
+#include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 #include <netinet/tcp.h>
@@ -48,6 +49,9 @@
 /// connection is closed instead.
 constexpr std::size_t max_discarded_bytes = 4U << 20U;
 
+/// Characters of a server's header value that are logged.
+constexpr std::size_t max_logged_value = 64;
+
 /// Part of the keep-alive timeout stated by a server after which its idle
 /// connection is closed.
 constexpr double keep_alive_share = 0.7;
@@ -399,9 +403,29 @@
     return stated || status == 421;
 }
 
-bool upstream::states_leaving(const http::response_header<>& header) const
+// Reads what the answer's header states about the server: that it leaves, and
+// for how long a server that refused the request wants nothing more.
+void upstream::read_statement(exchange& current,
+                              const core::step_send& step) const
 {
-    return !this->names.leaving.empty() && header[this->names.leaving] == "1";
+    const http::response_header<>& header = current.parser->get().base();
+    current.result.leaving =
+        !this->names.leaving.empty() && header[this->names.leaving] == "1";
+    const auto retry_after = header.find(http::field::retry_after);
+    if (!current.not_run || header.result_int() != 503 ||
+        retry_after == header.end())
+    {
+        return;
+    }
+    const std::string_view text = retry_after->value();
+    current.result.retry_after = core::parse_retry_after(text);
+    if (!current.result.retry_after)
+    {
+        log::write(log::level::warning, "retry_after_ignored",
+                   {log::kv("service", step.service),
+                    log::kv("server", step.server.name),
+                    log::kv("value", text.substr(0, max_logged_value))});
+    }
 }
 
 std::string upstream::request_head(const core::step_send& step,
@@ -726,7 +750,6 @@
         co_return false;
     }
     current.not_run = this->states_not_run(header);
-    current.result.leaving = this->states_leaving(header);
     current.age_limit = this->times.max_idle_age;
     if (const auto timeout = keep_alive_timeout(header))
     {
@@ -832,6 +855,7 @@
     bool proceed = co_await this->read_head(*current, request);
     if (proceed)
     {
+        this->read_statement(*current, step);
         caller.on_answer_header(current->result);
     }
     current->part_buffer.resize(this->part_bytes);
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -168,7 +168,7 @@
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
-    bool states_leaving(const http::response_header<>& header) const;
+    void read_statement(exchange& current, const core::step_send& step) const;
     std::string request_head(const core::step_send& step,
                              const checked_request& request,
                              const trace::context& span,
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -113,7 +113,8 @@
     bool not_run = false;
     bool close = false;
     bool leaving = false;
-    std::string request_id; ///< Medlar-Request-Id header; none if empty
+    milliseconds retry_after{0}; ///< Retry-After header; none if 0
+    std::string request_id;      ///< Medlar-Request-Id header; none if empty
 };
 
 std::string format_head(const response_plan& plan)
@@ -124,6 +125,11 @@
             http::obsolete_reason(http::int_to_status(plan.status))));
     text += plan.not_run ? "Medlar-Not-Run: 1\r\n" : "";
     text += plan.leaving ? "Server-Leaving: 1\r\n" : "";
+    if (plan.retry_after > milliseconds(0))
+    {
+        const std::chrono::duration<double> wait = plan.retry_after;
+        text += fmt::format("Retry-After: {:.3f}\r\n", wait.count());
+    }
     if (!plan.request_id.empty())
     {
         text += fmt::format("Medlar-Request-Id: {}\r\n", plan.request_id);
@@ -271,7 +277,10 @@
     this->requests_received += is_control ? 0 : 1;
     response_plan plan;
     plan.leaving = modes.leaving;
-    if (!is_control && (modes.shed || modes.drain || full))
+    plan.retry_after = is_control ? milliseconds(0) : modes.turn_away;
+    const bool refuses =
+        modes.shed || modes.drain || full || plan.retry_after > milliseconds(0);
+    if (!is_control && refuses)
     {
         plan.status = 503;
         plan.not_run = true;
@@ -519,6 +528,8 @@
     modes.shed = requested.value("shed", modes.shed);
     modes.drain = requested.value("drain", modes.drain);
     modes.leaving = requested.value("leaving", modes.leaving);
+    modes.turn_away =
+        milliseconds(requested.value("turn_away_ms", modes.turn_away.count()));
     plan.body = "ok";
 }
 
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -39,6 +39,8 @@
     bool shed = false;         ///< answers 503 with Medlar-Not-Run: 1
     bool drain = false;        ///< sheds requests, then closes; unhealthy
     bool leaving = false;      ///< all answers carry Server-Leaving: 1
+    /// Sheds requests with this Retry-After; 0: no such refusals.
+    std::chrono::milliseconds turn_away{0};
 };
 
 /// Record of one execution of a request.
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -24,6 +24,7 @@
     statement.statement.server = "i-4";
     statement.statement.started = 1'700'000'000'000;
     statement.statement.leaving = true;
+    statement.statement.retry_after = 1500ms;
     core::place_call place;
     place.shard = {"specbook", 3};
     place.request.grant = {7, 9};
@@ -103,6 +104,7 @@
             EXPECT_EQ(received.server, sent->statement.server);
             EXPECT_EQ(received.started, sent->statement.started);
             EXPECT_EQ(received.leaving, sent->statement.leaving);
+            EXPECT_EQ(received.retry_after, sent->statement.retry_after);
         }
         if (const auto* sent = std::get_if<core::gossip>(&message))
         {
@@ -197,12 +199,40 @@
         EXPECT_TRUE(is_refused(earlier_release::gossip,
                                {nlohmann::json::array({"i-4", started})}));
     }
+    for (const nlohmann::json& hold :
+         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("5")})
+    {
+        EXPECT_TRUE(
+            is_refused(earlier_release::done_call, {"i-4", 5, true, hold}));
+    }
     EXPECT_TRUE(is_refused(earlier_release::done_call, {7, 5, true}));
     EXPECT_TRUE(is_refused(earlier_release::done_call, {"i-4", 5, "yes"}));
     EXPECT_TRUE(
         is_refused(earlier_release::gossip, {nlohmann::json::array({7, 5})}));
 }
 
+// Guards against a time of a peer that overflows or keeps a server without work
+// for long, and against one that ends early because it was rounded down.
+TEST(messages_with_a_hold, state_it_within_the_bounds)
+{
+    nlohmann::json message = earlier_release::done_call;
+    for (const nlohmann::json& element :
+         {nlohmann::json("i-4"), nlohmann::json(5), nlohmann::json(false),
+          nlohmann::json(std::numeric_limits<std::uint64_t>::max())})
+    {
+        message.push_back(element);
+    }
+    const auto decoded =
+        net::decode_message(nlohmann::json::to_cbor(message)).value();
+    EXPECT_EQ(std::get<core::done_call>(decoded).statement.retry_after,
+              core::max_hold);
+    core::done_call done{{"specbook", 3}, {7, 9}, core::send_outcome::shed, {}};
+    done.statement = {"i-4", 5, false, 1500001us};
+    const auto rounded = net::decode_message(net::encode_message(done)).value();
+    EXPECT_EQ(std::get<core::done_call>(rounded).statement.retry_after,
+              core::duration(1501ms));
+}
+
 // Guards against a crash on a damaged datagram, and against any other error
 // code than peer_message_invalid.
 RC_GTEST_PROP(damaged_datagrams, are_refused_or_decoded_without_a_crash, ())
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -102,6 +102,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::string retry_after; ///< header; empty if there is none
     bool cut = false; ///< the connection ended before the end of the answer
 };
 
@@ -255,7 +256,7 @@
         boost::system::error_code failure;
         http::read(socket, buffer, response, failure);
         return {response.result_int(), response.body(),
-                static_cast<bool>(failure)};
+                response[http::field::retry_after], static_cast<bool>(failure)};
     }
 
     std::size_t executions() const
@@ -623,6 +624,91 @@
     }
 }
 
+// Guards against an instance that sends requests to a server within the time
+// for which the server has turned it away, or none after it.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_left_alone_for_its_time)
+{
+    standin::server_faults modes;
+    modes.turn_away = 3s;
+    this->stating_server().set_modes(modes);
+    const auto begin = std::chrono::steady_clock::now();
+    auto turned_away_after = begin;
+    while (this->received() == 0 &&
+           std::chrono::steady_clock::now() - begin < 10s)
+    {
+        turned_away_after = std::chrono::steady_clock::now();
+        this->call_at_once(0);
+    }
+    const std::uint64_t before = this->received();
+    ASSERT_GT(before, 0U);
+    unsigned checks = 0;
+    while (std::chrono::steady_clock::now() - turned_away_after < 2700ms)
+    {
+        this->call_at_once(0);
+        const std::uint64_t now_received = this->received();
+        if (std::chrono::steady_clock::now() - turned_away_after < 2950ms)
+        {
+            EXPECT_EQ(now_received, before);
+            ++checks;
+        }
+    }
+    EXPECT_GT(checks, 0U);
+    this->stating_server().set_modes({});
+    EXPECT_TRUE(this->call_until_received(0));
+    const auto turned_away = this->on_thread(
+        [this]
+        {
+            return this->fleet[0]->entry->counters().turned_away;
+        });
+    EXPECT_GE(turned_away, 1U);
+}
+
+// Guards against a restarted server that is left without work because the run
+// before it turned the instance away.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_used_after_a_restart)
+{
+    standin::server_faults modes;
+    modes.turn_away = 300s;
+    this->stating_server().set_modes(modes);
+    ASSERT_TRUE(this->call_until_received(0));
+    this->stating_server().set_modes({});
+    this->announce(2);
+    EXPECT_TRUE(this->call_until_received(0));
+}
+
+// Guards against an instance that waits for, or asks, servers that have all
+// turned it away, and against a refusal that carries the time of a server: it
+// says when the first server wants work again.
+TEST_F(a_gateway_fleet_with_a_server_that_states, refuses_when_none_is_left)
+{
+    standin::server_faults modes;
+    modes.turn_away = 60s;
+    this->set_modes(modes);
+    modes.turn_away = 30s;
+    this->stating_server().set_modes(modes);
+    const auto requests_received = [this]
+    {
+        std::uint64_t count = 0;
+        for (const auto& server : this->started_servers)
+        {
+            count += server->requests_received();
+        }
+        return count;
+    };
+    // The first request finds out; the others are refused without a send.
+    for (int count = 0; count < 4; ++count)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto refused = this->call(0, "/order/x", test_key, "one");
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+        EXPECT_EQ(refused.status, 503U);
+        ASSERT_FALSE(refused.retry_after.empty());
+        EXPECT_GT(std::stod(refused.retry_after), 10.0);
+        EXPECT_LT(std::stod(refused.retry_after), 30.0);
+        EXPECT_EQ(requests_received(), 4U);
+    }
+}
+
 /// Fixture: the account may send 10 requests per second.
 class a_gateway_fleet_with_a_small_limit : public a_gateway_fleet
 {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -172,6 +172,203 @@
     }
 }
 
+/// Given two servers, the first of which has turned an instance away for two
+/// seconds.
+class a_server_that_turned_an_instance_away : public a_service_owner
+{
+protected:
+    a_server_that_turned_an_instance_away()
+    {
+        this->set_servers({server("a"), server("b")});
+        this->turn_away("a", 2s);
+    }
+
+    void turn_away(const std::string& name, core::duration time)
+    {
+        this->owner.hold(1, {name, 1, false, time}, this->now);
+    }
+
+    core::place_request request_of(std::uint64_t instance)
+    {
+        core::place_request request = this->request(true);
+        request.grant.instance = instance;
+        return request;
+    }
+
+    /// Places requests of the instance until no slot is left; returns how many
+    /// each server got.
+    std::map<std::string, int> place_all(std::uint64_t instance)
+    {
+        std::map<std::string, int> placed;
+        for (int index = 0; index < 6; ++index)
+        {
+            ++placed[this->place(this->request_of(instance))];
+        }
+        return placed;
+    }
+
+    core::place_refused refused(const core::place_request& request)
+    {
+        const core::place_answer answer =
+            this->owner.request(request, this->now);
+        const auto* refusal = std::get_if<core::place_refused>(&answer);
+        return refusal == nullptr
+                   ? core::place_refused{core::result_code::ok, {}}
+                   : *refusal;
+    }
+};
+
+// Guards against an owner that chooses a server for an instance that the server
+// wants nothing from.
+TEST_F(a_server_that_turned_an_instance_away, is_not_chosen_for_that_instance)
+{
+    this->now += 1999ms;
+    EXPECT_EQ(this->place_all(1)["a"], 0);
+}
+
+// Guards against a server that loses the requests of other instances too, or
+// those of the instance after the stated time.
+TEST_F(a_server_that_turned_an_instance_away, is_chosen_for_others_and_later)
+{
+    EXPECT_EQ(this->place_all(2)["a"], 3);
+    EXPECT_EQ(this->place(this->request_of(1)), "");
+}
+
+TEST_F(a_server_that_turned_an_instance_away, is_chosen_after_the_time)
+{
+    this->now += 2s;
+    EXPECT_EQ(this->place_all(1)["a"], 3);
+}
+
+// Guards against a restarted server that stays without the instance's work.
+TEST_F(a_server_that_turned_an_instance_away, is_chosen_after_a_restart)
+{
+    auto restarted = server("a");
+    restarted.started = 2;
+    this->set_servers({restarted, server("b")});
+    EXPECT_EQ(this->place_all(1)["a"], 3);
+}
+
+// Guards against a suspected server that is probed by an instance it turned
+// away.
+TEST_F(a_server_that_turned_an_instance_away, is_not_probed_by_that_instance)
+{
+    this->set_servers({server("a"), server("b"), server("c")});
+    std::vector<std::pair<core::place_request, std::string>> running;
+    for (int count = 0; count < 9; ++count)
+    {
+        const auto request = this->request_of(2);
+        running.emplace_back(request, this->place(request));
+    }
+    for (const auto& [request, chosen] : running)
+    {
+        this->finish(request, chosen == "a"
+                                  ? core::send_outcome::connection_lost
+                                  : core::send_outcome::succeeded);
+    }
+    this->now += 700ms;
+    EXPECT_NE(this->place(this->request_of(1)), "a");
+    EXPECT_EQ(this->place(this->request_of(2)), "a");
+}
+
+// Guards against a request that waits for servers that all want nothing from
+// its instance: it is refused with the time until the first wants work again.
+TEST_F(a_server_that_turned_an_instance_away, refuses_when_none_is_left)
+{
+    this->turn_away("b", 3s);
+    this->now += 500ms;
+    const core::place_refused refusal = this->refused(this->request_of(1));
+    EXPECT_EQ(refusal.code, core::result_code::no_healthy_server);
+    EXPECT_EQ(refusal.retry_after, core::duration(1500ms));
+    EXPECT_NE(this->place(this->request_of(2)), "");
+}
+
+// Guards against a request that waited already when the last server turned its
+// instance away, and waits on until its deadline.
+TEST_F(a_server_that_turned_an_instance_away, refuses_waiting_requests_too)
+{
+    EXPECT_EQ(this->place_all(1)["b"], 3);
+    EXPECT_GT(this->owner.waiting(), 0U);
+    this->turn_away("b", 1s);
+    const auto answers = this->owner.tick(this->now);
+    EXPECT_EQ(this->owner.waiting(), 0U);
+    ASSERT_EQ(answers.size(), 3U);
+    for (const core::deferred_answer& deferred : answers)
+    {
+        const auto* refusal =
+            std::get_if<core::place_refused>(&deferred.answer);
+        ASSERT_NE(refusal, nullptr);
+        EXPECT_EQ(refusal->retry_after, core::duration(1s));
+    }
+}
+
+// Guards against any sequence of holds, requests and times in which a server is
+// chosen for an instance within a time for which it turned that one away.
+RC_GTEST_PROP(an_owner, keeps_to_the_holds_of_all_instances, ())
+{
+    core::placement owner{core::retry_limits{}, test_seed};
+    const std::vector<core::announced_server> announced{
+        server("a", 1), server("b", 1), server("c", 1)};
+    std::vector<const core::announced_server*> usable;
+    for (const core::announced_server& known : announced)
+    {
+        usable.push_back(&known);
+    }
+    core::time_point now = start;
+    owner.set_servers(usable, now);
+    std::map<std::pair<std::uint64_t, std::string>, core::time_point> until;
+    std::uint64_t number = 0;
+    const auto check =
+        [&](std::uint64_t instance, const core::place_answer& answer)
+    {
+        if (const auto* placed = std::get_if<core::placed>(&answer))
+        {
+            RC_ASSERT((until[{instance, placed->server}] <= now));
+        }
+    };
+    const auto steps = *rc::gen::inRange(1, 80);
+    for (int step = 0; step < steps; ++step)
+    {
+        const auto instance = *rc::gen::inRange<std::uint64_t>(1, 4);
+        switch (*rc::gen::inRange(0, 4))
+        {
+        case 0:
+        {
+            const std::string name =
+                *rc::gen::element<std::string>("a", "b", "c");
+            const auto wait =
+                std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+            owner.hold(instance, {name, 1, false, wait}, now);
+            core::time_point& end = until[{instance, name}];
+            end = std::max(end, now + wait);
+            break;
+        }
+        case 1:
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+            break;
+        case 2:
+            owner.on_send_ended(
+                {instance, *rc::gen::inRange<std::uint64_t>(0, number + 1)},
+                core::send_outcome::succeeded, 50ms, now);
+            break;
+        default:
+        {
+            core::place_request request;
+            request.grant = {instance, ++number};
+            request.repeatable = *rc::gen::arbitrary<bool>();
+            request.time_to_objective = 800ms;
+            request.time_to_deadline = 2500ms;
+            check(instance, owner.request(request, now));
+            break;
+        }
+        }
+        for (const core::deferred_answer& deferred : owner.tick(now))
+        {
+            check(deferred.grant.instance, deferred.answer);
+        }
+    }
+}
+
 /// A server that accepts a request and does not answer.
 class a_server_that_hangs : public a_service_owner
 {
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -207,6 +207,33 @@
     EXPECT_EQ(this->backend.requests_received(), 0U);
 }
 
+// Guards against a stated time that is overlooked, or read from an answer that
+// did not refuse the request as not run: that is the server's own answer.
+TEST_F(attempts, tell_for_how_long_the_server_turns_the_instance_away)
+{
+    EXPECT_FALSE(this->run("/a").retry_after);
+    standin::server_faults modes;
+    modes.turn_away = milliseconds(1250);
+    this->backend.set_modes(modes);
+    const auto refused = this->run("/a");
+    EXPECT_EQ(refused.end, attempt_end::refused_not_run);
+    EXPECT_EQ(refused.retry_after, core::duration(milliseconds(1250)));
+    ASSERT_TRUE(this->caller->stated);
+    EXPECT_EQ(this->caller->stated->retry_after, refused.retry_after);
+    EXPECT_EQ(this->caller->status, 0U);
+    this->set_mode(&standin::server_faults::shed);
+    EXPECT_FALSE(this->run("/a").retry_after);
+    net::http_interface names;
+    names.not_run = "Another-Name";
+    net::upstream other{this->io.get_executor(), config::entry_bounds{}, names};
+    this->backend.set_modes(modes);
+    const auto forwarded = this->run_at(other, "/a");
+    EXPECT_EQ(forwarded.end, attempt_end::answered);
+    EXPECT_FALSE(forwarded.retry_after);
+    EXPECT_NE(this->caller->lines.find("Retry-After: 1.250\r\n"),
+              std::string::npos);
+}
+
 // Guards against an interface without the header that reads it nevertheless.
 TEST_F(attempts, read_no_leaving_header_without_a_name)
 {
