--- a/medlarbarrow/config/log_trace.cpp
+++ b/medlarbarrow/config/log_trace.cpp
@@ -26,9 +26,10 @@
     "settings_reloaded"};
 
 /// Events about a server or a service.
-constexpr std::array<std::string_view, 6> server_events{
+constexpr std::array<std::string_view, 7> server_events{
     "server_suspected", "server_trusted",   "server_leaving",
-    "server_removed",   "server_announced", "servers_without_work"};
+    "server_removed",   "server_announced", "servers_without_work",
+    "server_turned_away"};
 
 /// Parses the value at the start of `rest` and removes it from `rest`.
 std::string consume_value(std::string_view& rest)
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -444,6 +444,9 @@
     add_counter("fleet_local_decisions_total", fleet_counts.local_decisions);
     add_counter("fleet_second_shards_asked_total",
                 fleet_counts.second_shards_asked);
+    add_counter("leaving_runs_learned_total",
+                fleet_counts.leaving_runs_learned);
+    add_counter("turned_away_total", gateway_counts.turned_away);
     add_counter("second_sends_total", gateway_counts.second_sends);
     add_counter("stop_refused_late_total", gateway_counts.stop_refused_late);
     add_counter("stop_refused_waiting_total",
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <medlarbarrow/core/request_flow.hpp>
+#include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/core/split.hpp>
 #include <medlarbarrow/net/caller.hpp>
 #include <medlarbarrow/net/gateway.hpp>
@@ -78,6 +79,13 @@
     void on_session_end(session& ended);
     void run_maintenance();
     void notify_if_drained();
+    bool may_send(const core::leaving_run& run,
+                  const std::string& service) const;
+    void record_answer_header(const core::leaving_run& run,
+                              const core::attempt_result& result);
+    std::optional<core::duration> time_until_wanted(const std::string& service);
+    std::vector<std::string> held_servers(const std::string& service,
+                                          core::duration time);
 
     asio::io_context& io;
     gateway_settings settings;
@@ -89,6 +97,7 @@
     signal capacity_freed; ///< a session has ended, or stop() was called
     config::entry_bounds bounds;
     upstream connections;
+    core::server_holds holds; ///< servers that turned this instance away
     std::shared_ptr<const document_view> view;
     core::traffic_splitter splitter;
     gateway_counters counts;
@@ -139,6 +148,7 @@
         std::optional<core::grant_id> grant;
         std::string server;
         core::duration typical{}; ///< expected duration of the send
+        core::server_statement statement; ///< of the server, for the owner
         std::shared_ptr<send> active_send;
         std::string ending; ///< how the send ended, for the log
         core::time_point ended_at{};
@@ -154,6 +164,13 @@
     core::place_request make_place_request(const core::action_place& action);
     void start_place(const core::action_place& action);
     void start_send(const core::action_send& action);
+    send_callbacks make_send_callbacks(std::size_t number,
+                                       const core::leaving_run& run);
+    void on_answer_header(std::size_t number,
+                          const core::attempt_result& result);
+    void report_end(attempt& current,
+                    core::send_outcome outcome,
+                    core::duration latency);
     void on_send_end(std::size_t number, const core::attempt_result& result);
     void cancel(std::size_t number);
     asio::awaitable<void> deliver(std::size_t number);
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <medlarbarrow/core/orders.hpp>
+#include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/net/idle_socket.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/upstream.hpp>
@@ -52,6 +53,9 @@
 /// connection is closed instead.
 constexpr std::size_t max_discarded_bytes = 4U << 20U;
 
+/// Characters of a server's header value that are logged.
+constexpr std::size_t max_logged_value = 64;
+
 /// Part of the keep-alive timeout stated by a server after which its idle
 /// connection is closed.
 constexpr double keep_alive_share = 0.7;
@@ -170,7 +174,8 @@
         timed_out,
         caller_gone,
         caller_failed,
-        bad_answer
+        bad_answer,
+        withheld
     };
 
     exchange(const asio::any_io_executor& executor,
@@ -454,6 +459,31 @@
     return stated || status == 421;
 }
 
+// Reads what the answer's header states about the server: that it leaves, and
+// for how long a server that refused the request wants nothing more.
+void upstream::read_statement(exchange& current,
+                              const core::step_send& step) const
+{
+    const http::response_header<>& header = current.parser->get().base();
+    current.result.leaving =
+        !this->names.leaving.empty() && header[this->names.leaving] == "1";
+    const auto retry_after = header.find(http::field::retry_after);
+    if (!current.not_run || header.result_int() != 503 ||
+        retry_after == header.end())
+    {
+        return;
+    }
+    const std::string_view text = retry_after->value();
+    current.result.retry_after = core::parse_retry_after(text);
+    if (!current.result.retry_after)
+    {
+        log::write(log::level::warning, "retry_after_ignored",
+                   {log::kv("service", step.service),
+                    log::kv("server", step.server.name),
+                    log::kv("value", text.substr(0, max_logged_value))});
+    }
+}
+
 std::string upstream::request_head(const core::step_send& step,
                                    const checked_request& request,
                                    const trace::context& span,
@@ -560,14 +590,20 @@
 }
 
 // Gets an idle or new connection. Waits while this instance's share of the
-// server's connections is in use. False when the attempt stopped or the
-// connection failed.
+// server's connections is in use. False when the attempt stopped, the
+// connection failed or the request may no longer be sent.
 asio::awaitable<bool> upstream::acquire(const core::step_send& step,
-                                        exchange& current)
+                                        exchange& current,
+                                        const caller_channel& caller)
 {
     server_pool& pool = *current.pool;
     while (!current.stopped && !this->sending_stopped)
     {
+        if (!caller.may_send())
+        {
+            current.stop(exchange::stop_cause::withheld);
+            break;
+        }
         if (!step.fresh_connection && this->take_idle(step, current))
         {
             co_return true;
@@ -665,6 +701,11 @@
         {
             current->stop(exchange::stop_cause::caller_failed);
         }
+        // The wait for the caller's body may have been long.
+        if (current->bytes_written == 0 && !caller->may_send())
+        {
+            current->stop(exchange::stop_cause::withheld);
+        }
         if (current->stopped)
         {
             break;
@@ -903,6 +944,11 @@
                                             caller_channel& caller)
 {
     bool proceed = co_await this->read_head(*current, request);
+    if (proceed)
+    {
+        this->read_statement(*current, step);
+        caller.on_answer_header(current->result);
+    }
     current->part_buffer.resize(this->part_bytes);
     while (proceed)
     {
@@ -983,6 +1029,7 @@
     else if (current.bytes_written == 0)
     {
         result.end = attempt_end::not_sent;
+        result.withheld = current.cause == exchange::stop_cause::withheld;
     }
     else if (current.cause == exchange::stop_cause::timed_out)
     {
@@ -1032,7 +1079,7 @@
     {
         current->request_id = trace::span_id_text(trace::make_span(span));
     }
-    const bool acquired = co_await this->acquire(step, *current);
+    const bool acquired = co_await this->acquire(step, *current, caller);
     if (acquired)
     {
         current->send_start = core::boot_clock::now();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
+#include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/gateway.hpp>
 #include <platform/names.hpp>
 #include <random>
@@ -56,8 +57,9 @@
                   const std::string& address,
                   std::uint16_t port,
                   const std::string& seed,
-                  const core::server_registry& servers,
+                  core::server_registry announced,
                   const net::http_interface& names)
+        : servers(std::move(announced))
     {
         net::fleet_settings fleet_options;
         fleet_options.self = {address, port};
@@ -81,18 +83,21 @@
         callbacks.on_peer_confirmation = [] {};
         callbacks.set_reading_enabled = [](bool) {};
         this->peers =
-            net::fleet::create(io, fleet_options, servers, callbacks).value();
+            net::fleet::create(io, fleet_options, this->servers, callbacks)
+                .value();
         net::gateway_settings settings;
         settings.caller_endpoint = {address, 0};
         settings.data_centre = "suva";
         settings.names = names;
         this->entry =
-            net::gateway::create(io, settings, *this->peers, servers).value();
+            net::gateway::create(io, settings, *this->peers, this->servers)
+                .value();
         EXPECT_FALSE(this->entry->start());
         this->address = address;
         this->peers->start();
     }
 
+    core::server_registry servers;
     std::unique_ptr<net::fleet> peers;
     std::unique_ptr<net::gateway> entry;
     std::string address;
@@ -102,6 +107,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::string retry_after; ///< header; empty if there is none
     bool cut = false; ///< the connection ended before the end of the answer
 };
 
@@ -131,6 +137,7 @@
         new_document->accounts = {account};
         this->document = new_document;
         const std::uint16_t port = free_port();
+        this->fleet_port = port;
         for (int index = 0; index < 3; ++index)
         {
             const std::string address = "127.0.7." + std::to_string(index + 1);
@@ -271,7 +278,7 @@
         boost::system::error_code failure;
         http::read(socket, buffer, response, failure);
         return {response.result_int(), response.body(),
-                static_cast<bool>(failure)};
+                response[http::field::retry_after], static_cast<bool>(failure)};
     }
 
     std::size_t executions() const
@@ -286,6 +293,7 @@
 
     double rate = 1000.0;
     net::http_interface names;
+    std::uint16_t fleet_port = 0;
     std::unique_ptr<boost::asio::io_context> io =
         std::make_unique<boost::asio::io_context>(1);
     core::server_registry servers;
@@ -441,6 +449,289 @@
     }
 }
 
+/// Given the fleet and the names of one server, "s0", that states something
+/// about itself in its answers.
+class a_gateway_fleet_with_a_server_that_states : public a_gateway_fleet
+{
+protected:
+    standin::server& stating_server()
+    {
+        return *this->started_servers[0];
+    }
+
+    std::uint64_t received() const
+    {
+        return this->started_servers[0]->requests_received();
+    }
+
+    /// Puts the server as ready into the registries of all instances.
+    void announce(std::uint64_t started)
+    {
+        this->on_thread(
+            [this, started]
+            {
+                core::announced_server announced = *this->servers.find("s0");
+                announced.started = started;
+                for (const auto& instance : this->fleet)
+                {
+                    instance->servers.put(announced);
+                }
+                return true;
+            });
+    }
+
+    /// Sends nine requests to the instance at once, as many as three servers
+    /// run. Fewer would leave out a server that has not been used lately.
+    void call_at_once(std::size_t instance)
+    {
+        std::vector<std::future<test_answer>> answers;
+        for (int count = 0; count < 9; ++count)
+        {
+            answers.push_back(std::async(
+                std::launch::async,
+                [this, instance]
+                {
+                    return this->call(instance, "/order/x?delay_ms=100",
+                                      test_key, "one");
+                }));
+        }
+        for (auto& answer : answers)
+        {
+            EXPECT_EQ(answer.get().status, 200U);
+        }
+    }
+
+    /// Sends requests to the instance until one more has reached the server;
+    /// false after 10 s.
+    bool call_until_received(std::size_t instance)
+    {
+        const std::uint64_t before = this->received();
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (this->received() == before &&
+               std::chrono::steady_clock::now() < limit)
+        {
+            this->call_at_once(instance);
+        }
+        return this->received() > before;
+    }
+
+    bool is_marked(std::size_t instance, const core::leaving_run& run)
+    {
+        return this->on_thread(
+            [this, instance, &run]
+            {
+                return this->fleet[instance]->servers.is_marked_leaving(run);
+            });
+    }
+
+    /// Waits until the instance knows that the run leaves; false after 10 s.
+    bool wait_until_marked(std::size_t instance, const core::leaving_run& run)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (std::chrono::steady_clock::now() < limit)
+        {
+            if (this->is_marked(instance, run))
+            {
+                return true;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
+    /// Sends a message to the instance from an address that no instance has.
+    void send_as_peer(std::size_t instance, const core::fleet_message& message)
+    {
+        boost::asio::io_context peer_io;
+        boost::asio::ip::udp::socket peer(
+            peer_io, {boost::asio::ip::make_address(peer_address), 0});
+        peer.send_to(
+            boost::asio::buffer(net::encode_message(message)),
+            {boost::asio::ip::make_address(this->fleet[instance]->address),
+             this->fleet_port});
+    }
+
+    static constexpr const char* peer_address = "127.0.7.9";
+};
+
+// Guards against an instance that goes on to use a server that has said in an
+// answer that it leaves, although the registry still announces that run as
+// ready, and against others that never learn it, or do not use the next run.
+TEST_F(a_gateway_fleet_with_a_server_that_states, sends_it_nothing_as_it_leaves)
+{
+    standin::server_faults modes;
+    modes.leaving = true;
+    this->stating_server().set_modes(modes);
+    ASSERT_TRUE(this->call_until_received(0));
+    const std::uint64_t before = this->received();
+    this->announce(1);
+    this->call_at_once(0);
+    this->call_at_once(0);
+    EXPECT_EQ(this->received(), before);
+    for (const std::size_t instance : {1U, 2U})
+    {
+        EXPECT_TRUE(this->wait_until_marked(instance, {"s0", 1}));
+        this->announce(1);
+        this->call_at_once(instance);
+        this->call_at_once(instance);
+    }
+    EXPECT_EQ(this->received(), before);
+    this->stating_server().set_modes({});
+    this->announce(2);
+    for (const std::size_t instance : {0U, 1U, 2U})
+    {
+        EXPECT_TRUE(this->call_until_received(instance));
+    }
+}
+
+// Guards against a request that was granted the server by an owner that does
+// not know yet that it leaves, and is sent by an instance that does. At least
+// one of the two instances is not the owner.
+TEST_F(a_gateway_fleet_with_a_server_that_states, sends_no_granted_request)
+{
+    for (const std::size_t instance : {0U, 1U})
+    {
+        const standin::server& server = *this->started_servers[instance];
+        const std::uint64_t before = server.requests_received();
+        this->on_thread(
+            [this, instance]
+            {
+                return this->fleet[instance]->servers.mark_leaving(
+                    {"s" + std::to_string(instance), 1},
+                    core::boot_clock::now());
+            });
+        this->call_at_once(instance);
+        EXPECT_EQ(server.requests_received(), before);
+    }
+}
+
+// Guards against an owner that ignores the reports of other instances that a
+// server leaves, and against a report about a run before the present one.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_believed_by_its_owner)
+{
+    this->announce(5);
+    core::done_call report;
+    report.shard = {"desk", 0};
+    report.grant = {
+        std::uint64_t{boost::asio::ip::make_address_v4(peer_address).to_uint()}
+            << 32U,
+        1};
+    report.statement = {"s0", 4, true};
+    this->send_as_peer(1, report);
+    report.statement = {"s1", 1, true};
+    this->send_as_peer(1, report);
+    EXPECT_TRUE(this->wait_until_marked(1, {"s1", 1}));
+    EXPECT_FALSE(this->is_marked(1, {"s0", 4}));
+    report.statement = {"s0", 5, true};
+    this->send_as_peer(1, report);
+    EXPECT_TRUE(this->wait_until_marked(1, {"s0", 5}));
+    const auto learned = this->on_thread(
+        [this]
+        {
+            return this->fleet[1]->peers->counters().leaving_runs_learned;
+        });
+    EXPECT_EQ(learned, 2U);
+}
+
+// Guards against gossip about leaving servers that is ignored, or not passed
+// on to the instances that did not hear it.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_made_known_by_gossip)
+{
+    core::gossip news;
+    news.incarnation = 1;
+    news.leaving_runs = {{"s0", 1}, {"", 1}, {"unknown", 7}};
+    this->send_as_peer(1, news);
+    for (const std::size_t instance : {0U, 1U, 2U})
+    {
+        EXPECT_TRUE(this->wait_until_marked(instance, {"s0", 1}));
+    }
+}
+
+// Guards against an instance that sends requests to a server within the time
+// for which the server has turned it away, or none after it.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_left_alone_for_its_time)
+{
+    standin::server_faults modes;
+    modes.turn_away = 3s;
+    this->stating_server().set_modes(modes);
+    const auto begin = std::chrono::steady_clock::now();
+    auto turned_away_after = begin;
+    while (this->received() == 0 &&
+           std::chrono::steady_clock::now() - begin < 10s)
+    {
+        turned_away_after = std::chrono::steady_clock::now();
+        this->call_at_once(0);
+    }
+    const std::uint64_t before = this->received();
+    ASSERT_GT(before, 0U);
+    unsigned checks = 0;
+    while (std::chrono::steady_clock::now() - turned_away_after < 2700ms)
+    {
+        this->call_at_once(0);
+        const std::uint64_t now_received = this->received();
+        if (std::chrono::steady_clock::now() - turned_away_after < 2950ms)
+        {
+            EXPECT_EQ(now_received, before);
+            ++checks;
+        }
+    }
+    EXPECT_GT(checks, 0U);
+    this->stating_server().set_modes({});
+    EXPECT_TRUE(this->call_until_received(0));
+    const auto turned_away = this->on_thread(
+        [this]
+        {
+            return this->fleet[0]->entry->counters().turned_away;
+        });
+    EXPECT_GE(turned_away, 1U);
+}
+
+// Guards against a restarted server that is left without work because the run
+// before it turned the instance away.
+TEST_F(a_gateway_fleet_with_a_server_that_states, is_used_after_a_restart)
+{
+    standin::server_faults modes;
+    modes.turn_away = 300s;
+    this->stating_server().set_modes(modes);
+    ASSERT_TRUE(this->call_until_received(0));
+    this->stating_server().set_modes({});
+    this->announce(2);
+    EXPECT_TRUE(this->call_until_received(0));
+}
+
+// Guards against an instance that waits for, or asks, servers that have all
+// turned it away, and against a refusal that carries the time of a server: it
+// says when the first server wants work again.
+TEST_F(a_gateway_fleet_with_a_server_that_states, refuses_when_none_is_left)
+{
+    standin::server_faults modes;
+    modes.turn_away = 60s;
+    this->set_modes(modes);
+    modes.turn_away = 30s;
+    this->stating_server().set_modes(modes);
+    const auto requests_received = [this]
+    {
+        std::uint64_t count = 0;
+        for (const auto& server : this->started_servers)
+        {
+            count += server->requests_received();
+        }
+        return count;
+    };
+    // The first request finds out; the others are refused without a send.
+    for (int count = 0; count < 4; ++count)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto refused = this->call(0, "/order/x", test_key, "one");
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+        EXPECT_EQ(refused.status, 503U);
+        ASSERT_FALSE(refused.retry_after.empty());
+        EXPECT_GT(std::stod(refused.retry_after), 10.0);
+        EXPECT_LT(std::stod(refused.retry_after), 30.0);
+        EXPECT_EQ(requests_received(), 4U);
+    }
+}
+
 /// Fixture: the account may send 10 requests per second.
 class a_gateway_fleet_with_a_small_limit : public a_gateway_fleet
 {
