Guard the join of holds and work that is due

Cause: a server without work is given the next request while sends fail; where that rule met the time for which a server turned an instance away, no test guarded the check.

--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -273,6 +273,31 @@
     EXPECT_EQ(this->place(this->request_of(2)), "a");
 }
 
+// Guards against a held instance whose request goes to the server because that
+// server has been without work while sends fail.
+TEST_F(a_server_that_turned_an_instance_away, is_not_due_for_its_work)
+{
+    this->set_servers({server("a"), server("b"), server("c")});
+    this->turn_away("a", 5s);
+    const auto fail_elsewhere = [this]
+    {
+        for (int count = 0; count < 4; ++count)
+        {
+            const auto request = this->request_of(1);
+            ASSERT_NE(this->place(request), "a") << count;
+            this->finish(request, count == 0 ? core::send_outcome::failed
+                                             : core::send_outcome::succeeded);
+        }
+    };
+    // Long enough for the server without work to be due.
+    for (int round = 0; round < 8; ++round)
+    {
+        this->now += 300ms;
+        fail_elsewhere();
+    }
+    EXPECT_EQ(this->place(this->request_of(2)), "a");
+}
+
 // Guards against a request that waits for servers that all want nothing from
 // its instance: it is refused with the time until the first wants work again.
 TEST_F(a_server_that_turned_an_instance_away, refuses_when_none_is_left)
