Don't suspect servers because the instance stops

Cause: an attempt that waited for a connection when a stop ended all sending was reported to the shard's owner as a server that could not be reached: 0.45 of suspicion and a failure for each. Found by review. Change: it counts as withheld, which is no evidence about the server. Result: without the change upstream_test fails: withheld "Which is: { false, false, false, false }", expected { true, true, false, false }.

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -597,9 +597,9 @@
                                         const caller_channel& caller)
 {
     server_pool& pool = *current.pool;
-    while (!current.stopped && !this->sending_stopped)
+    while (!current.stopped)
     {
-        if (!caller.may_send())
+        if (this->sending_stopped || !caller.may_send())
         {
             current.stop(exchange::stop_cause::withheld);
             break;
@@ -620,7 +620,11 @@
             ++this->counts->connections_open;
             current.holds_slot = true;
             const bool connected = co_await this->connect(step, current);
-            co_return connected && !this->sending_stopped;
+            if (this->sending_stopped)
+            {
+                current.stop(exchange::stop_cause::withheld);
+            }
+            co_return connected && !current.stopped;
         }
         co_await pool.connection_available.wait_until(step.deadline);
     }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -401,7 +401,8 @@
 }
 
 // Guards against requests that wait for a connection until the event loop ends
-// and get no answer, and against breaking off those that a server works on.
+// and get no answer, against breaking off those that a server works on, and
+// against servers that are suspected because the instance stops.
 TEST_F(attempts, that_wait_for_a_connection_are_not_sent_when_sending_stops)
 {
     this->step.server.connections = 2;
@@ -409,6 +410,7 @@
     this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
     std::vector<std::shared_ptr<recording_caller>> callers;
     std::vector<attempt_end> ends;
+    std::vector<bool> withheld;
     for (int count = 0; count < 4; ++count)
     {
         callers.push_back(std::make_shared<recording_caller>());
@@ -419,6 +421,7 @@
                 const auto result = co_await this->servers.attempt(
                     this->step, this->request, net::trace::context{}, *caller);
                 ends.push_back(result.end);
+                withheld.push_back(result.withheld);
             },
             asio::detached);
     }
@@ -434,6 +437,7 @@
     EXPECT_EQ(ends,
               (std::vector{attempt_end::not_sent, attempt_end::not_sent,
                            attempt_end::answered, attempt_end::answered}));
+    EXPECT_EQ(withheld, (std::vector{true, true, false, false}));
     EXPECT_EQ(this->backend.journal().size(), 2U);
 }
 
