Withhold what gets a connection too late in a shutdown

Callers saw: a request that had waited for a connection to its server was sent late in a planned stop and cut while the server worked on it. Cause: whether a send can end in time was asked only before the wait for a connection. Found by review. Change: it is asked again before the first byte; what is withheld then is refused as not run. Result: without the change the new case of gateway_test fails: status 200 for 503, executions 3 for 2. With it gateway_test passes, 19 of 19.

--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -574,10 +574,15 @@
         self->progress.notify();
         return true;
     };
-    callbacks.may_send =
-        [shared = this->shared, run, requested_service = this->service]
+    // The wait for a connection may take so long that the send can no longer
+    // end in a shutdown.
+    callbacks.may_send = [shared = this->shared, run,
+                          requested_service = this->service, current_session,
+                          number]
     {
-        return shared->may_send(run, requested_service);
+        const auto self = current_session();
+        return self && self->can_end(self->attempts[number]) &&
+               shared->may_send(run, requested_service);
     };
     callbacks.on_answer_header = [shared = this->shared, current_session,
                                   number,
@@ -611,6 +616,10 @@
     this->summary.outcome = result_code::ok;
     if (this->flow)
     {
+        if (result.withheld && !this->can_end(current))
+        {
+            this->flow->stop_sending(this->shutdown_refusal());
+        }
         this->flow->on_send_ended(number, end, now());
         this->progress.notify();
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -193,7 +193,7 @@
         announced.server.port = port;
         announced.server.data_centre = "suva";
         announced.server.slots = 3;
-        announced.server.connections = 360;
+        announced.server.connections = this->connections;
         this->servers.put(announced);
     }
 
@@ -292,6 +292,7 @@
     }
 
     double rate = 1000.0;
+    std::uint32_t connections = 360; ///< of each server, for all instances
     net::http_interface names;
     std::uint16_t fleet_port = 0;
     std::unique_ptr<boost::asio::io_context> io =
@@ -769,6 +770,56 @@
     EXPECT_GT(refused, 0U);
 }
 
+/// Fixture: one server that takes two connections from each instance.
+class a_gateway_fleet_with_few_connections : public a_gateway_fleet
+{
+protected:
+    a_gateway_fleet_with_few_connections()
+    {
+        this->connections = 2;
+    }
+
+    void add_servers(unsigned /*count*/) override
+    {
+        a_gateway_fleet::add_servers(1);
+    }
+};
+
+// Guards against a request that gets a connection so late in a shutdown that
+// the instance ends while the server works on it.
+TEST_F(a_gateway_fleet_with_few_connections,
+       refuses_in_a_shutdown_what_waits_too_long_for_a_connection)
+{
+    const auto call_later = [this](const std::string& target)
+    {
+        return std::async(std::launch::async,
+                          [this, target]
+                          {
+                              return this->call(0, target);
+                          });
+    };
+    auto first = call_later("/order/1?delay_ms=1500");
+    auto second = call_later("/order/2?delay_ms=1500");
+    const auto limit = std::chrono::steady_clock::now() + 10s;
+    while (this->executions() < 2 && std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    auto waiting = call_later("/order/3");
+    std::this_thread::sleep_for(50ms);
+    this->on_thread(
+        [this]
+        {
+            this->fleet[0]->entry->begin_shutdown(
+                core::shutdown_plan(core::boot_clock::now(), 1200ms, 100ms));
+            return true;
+        });
+    EXPECT_EQ(waiting.get().status, 503U);
+    EXPECT_EQ(first.get().status, 200U);
+    EXPECT_EQ(second.get().status, 200U);
+    EXPECT_EQ(this->executions(), 2U);
+}
+
 /// Fixture: the interface of the users' platform, and servers that answer as
 /// their scripts say.
 class a_gateway_fleet_of_faulty_servers : public a_gateway_fleet
