Wait for the heads of both answers in the entry's shutdown test

Cause, in the test: it began the shutdown when the server had written 1 MB, which the sockets can hold. The entry may not have read the answers' heads by then; it then writes them with "Connection: close", as it should, and ends the connections on which the test sends its late requests.

The test now waits until both callers have got the beginning of their answers, and sends each late request right after its answer. All checks stay.

--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -72,6 +72,14 @@
         return received;
     }
 
+    /// Waits for the first bytes of an answer, or for the end of the
+    /// connection.
+    void wait_for_input()
+    {
+        boost::system::error_code ignored;
+        this->socket.wait(tcp::socket::wait_read, ignored);
+    }
+
     /// Waits for the entry to close the connection. False when a byte arrives
     /// instead.
     bool is_closed()
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -543,20 +543,17 @@
     caller second(this->port());
     first.send(streamed);
     second.send(streamed);
-    ASSERT_TRUE(eventually(
-        [this]
-        {
-            return this->backend->journal().size() == 2 &&
-                   this->backend->body_bytes_sent() > 1000000;
-        }));
+    first.wait_for_input();
+    second.wait_for_input();
+    ASSERT_EQ(this->backend->journal().size(), 2U);
     this->drain(std::chrono::seconds(1));
     std::this_thread::sleep_for(milliseconds(600));
     EXPECT_EQ(first.receive().status(), 200U);
-    EXPECT_EQ(second.receive().status(), 200U);
     const answer refused = first.request(get("/reports/1"));
     expect_refusal(refused, 503, core::result_code::shutting_down, "not-run");
     EXPECT_EQ(refused["Connection"], "close");
     EXPECT_FALSE(refused["Retry-After"].empty());
+    EXPECT_EQ(second.receive().status(), 200U);
     expect_refusal(second.request(order), 503, core::result_code::shutting_down,
                    "unknown");
     EXPECT_EQ(this->backend->journal().size(), 2U);
