Give every server work while sends fail and requests are many

Cause: the rule that gives idle servers work began only when fewer than nine in ten servers had some. The floor counts sound servers only, so if few are sound, they may be those that are left out.

From four requests for each server in 2 s on, every server that has been without work is due for it. The new test failed before (18 or 19 of 20 servers).

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -60,6 +60,10 @@
 /// while sends fail. The floor counts only servers that work, which are not
 /// known here, so that the share of all servers in use has to be higher.
 constexpr double idle_part_above_floor = 1.0 / 3;
+/// Requests for each server in `spread_time` from which on no server may stay
+/// without work while sends fail: if few servers work, they may be the idle
+/// ones. With fewer requests, each one sent to an idle server costs too much.
+constexpr std::size_t many_requests_per_server = 4;
 
 /// Share of its slots that a server uses while it warms up.
 constexpr double warm_up_capacity_share = 0.67;
@@ -568,9 +572,12 @@
     {
         return false;
     }
-    const double wanted_share =
-        1.0 - idle_part_above_floor * (1.0 - this->floor_share);
     const work_spread current = this->spread(now);
+    const double idle_part =
+        current.requests >= many_requests_per_server * current.servers
+            ? 0.0
+            : idle_part_above_floor;
+    const double wanted_share = 1.0 - idle_part * (1.0 - this->floor_share);
     return static_cast<double>(current.with_work) <
            wanted_share * static_cast<double>(current.servers);
 }
--- a/tests/placement_floor_test.cpp
+++ b/tests/placement_floor_test.cpp
@@ -1019,6 +1019,20 @@
     EXPECT_GE(this->owner.spread(this->now).with_work, 18U);
 }
 
+// Guards against a part of the servers that may stay without work although there
+// are many requests for each: if few servers are sound, they may be that part.
+TEST_F(an_owner_with_failing_sends, gives_all_servers_work_if_requests_are_many)
+{
+    this->other_failures = true;
+    this->run_for(3s, 0.5);
+    for (std::size_t round = 0; round < 10; ++round)
+    {
+        auto counts = this->run_for(span, 0.5);
+        counts.erase("");
+        EXPECT_EQ(counts.size(), server_count) << "round " << round;
+    }
+}
+
 // Guards against unrepeatable requests that are lost at suspected servers,
 // although repeatable ones could have been sent there.
 TEST_F(an_owner_with_failing_sends,
