Try a server again 1 s after a single failure

Cause: a suspected server was due for work only 2.5 s after its last failure, and not before one in ten servers had been without work for 2 s. One answer that is late by chance, or one short fault, is enough for suspicion, so a sound server was left without work for more than 2 s.

A server is due 1 s after a failure, and 2.5 s after one that followed another. Requests that ran at the same time count as one failure. If there are four requests for each server, the others' work no longer counts.

The test of a single failure failed before (none of the four servers got work); that of servers that keep failing passes before and after.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -51,10 +51,10 @@
 constexpr milliseconds idle_before_work{1200};
 constexpr milliseconds idle_before_unrepeatable_work{1700};
 /// Time since its last failure after which a server is due. A suspected server
-/// waits longer: faults last some seconds, so that an earlier request would
-/// often be lost.
+/// that has failed again since then waits longer: faults last some seconds, so
+/// that an earlier request would often be lost.
 constexpr milliseconds min_failure_age{1000};
-constexpr milliseconds min_failure_age_if_suspected{2500};
+constexpr milliseconds min_age_of_repeated_failure{2500};
 
 /// The part of the servers above the floor share that may stay without work
 /// while sends fail. The floor counts only servers that work, which are not
@@ -209,12 +209,13 @@
         server.suspected && server.suspicion >= suspicion_threshold / 2;
 }
 
-void placement::raise_suspicion(const std::string& name,
+// Failures of requests that ran at the same time count as one in a row.
+void placement::raise_suspicion(const active_grant& failed,
                                 double amount,
                                 const char* reason,
                                 time_point now)
 {
-    const auto position = this->servers.find(name);
+    const auto position = this->servers.find(failed.server);
     if (position == this->servers.end())
     {
         return;
@@ -224,12 +225,14 @@
     server.suspicion = std::min(server.suspicion + amount, max_suspicion);
     if (amount > 0.0)
     {
+        server.failures_in_row += failed.granted_at > server.last_failure;
         server.last_failure = now;
     }
     if (!server.suspected && server.suspicion >= suspicion_threshold)
     {
         server.suspected = true;
-        this->events.push_back({name, "suspected", reason, server.suspicion});
+        this->events.push_back(
+            {failed.server, "suspected", reason, server.suspicion});
     }
 }
 
@@ -564,8 +567,9 @@
            too_many_fail(counts.failures, counts.results);
 }
 
-// Whether so many servers are without work that the floor share of the servers
-// that work may be missed.
+// Whether idle servers are to get work: there are requests enough for all, or so
+// many servers are without work that the floor share of those that work may be
+// missed.
 bool placement::is_short_of_work(time_point now) const
 {
     if (!this->needs_spread(now))
@@ -573,11 +577,12 @@
         return false;
     }
     const work_spread current = this->spread(now);
-    const double idle_part =
-        current.requests >= many_requests_per_server * current.servers
-            ? 0.0
-            : idle_part_above_floor;
-    const double wanted_share = 1.0 - idle_part * (1.0 - this->floor_share);
+    if (current.requests >= many_requests_per_server * current.servers)
+    {
+        return true;
+    }
+    const double wanted_share =
+        1.0 - idle_part_above_floor * (1.0 - this->floor_share);
     return static_cast<double>(current.with_work) <
            wanted_share * static_cast<double>(current.servers);
 }
@@ -594,9 +599,10 @@
         request.repeatable || !servers_now.has_repeatable_work;
     const duration min_idle =
         goes_first ? idle_before_work : idle_before_unrepeatable_work;
+    const bool keeps_failing = server.suspected && server.failures_in_row > 1;
     if (now - server.last_work < min_idle ||
         now - server.last_failure <
-            (server.suspected ? min_failure_age_if_suspected : min_failure_age))
+            (keeps_failing ? min_age_of_repeated_failure : min_failure_age))
     {
         return false;
     }
@@ -842,34 +848,32 @@
         if (server != this->servers.end())
         {
             server->second.last_success = now;
+            server->second.failures_in_row = 0;
             this->lower_suspicion(server->second, success_factor, now);
         }
         this->crashes.erase(ended.request.content_digest);
         break;
     }
     case send_outcome::failed:
-        this->raise_suspicion(ended.server, failed_suspicion, "error answers",
-                              now);
+        this->raise_suspicion(ended, failed_suspicion, "error answers", now);
         break;
     case send_outcome::connection_lost:
         this->new_crashes.push_back(
             {ended.request.content_digest, ended.server});
         this->record_crash(this->new_crashes.back(), now);
-        this->raise_suspicion(ended.server, broke_off_suspicion,
-                              "connection ended", now);
+        this->raise_suspicion(ended, broke_off_suspicion, "connection ended",
+                              now);
         break;
     case send_outcome::timed_out:
-        this->raise_suspicion(ended.server,
-                              ended.overdue ? 0.0 : overdue_suspicion,
+        this->raise_suspicion(ended, ended.overdue ? 0.0 : overdue_suspicion,
                               "no answer in time", now);
         break;
     case send_outcome::shed:
-        this->raise_suspicion(ended.server, shed_suspicion, "request shed",
-                              now);
+        this->raise_suspicion(ended, shed_suspicion, "request shed", now);
         break;
     case send_outcome::unreachable:
-        this->raise_suspicion(ended.server, unreachable_suspicion,
-                              "no connection", now);
+        this->raise_suspicion(ended, unreachable_suspicion, "no connection",
+                              now);
         break;
     case send_outcome::cancelled:
         break;
@@ -898,8 +902,8 @@
         {
             active.overdue = true;
             this->count_result(true, now);
-            this->raise_suspicion(active.server, overdue_suspicion,
-                                  "answer overdue", now);
+            this->raise_suspicion(active, overdue_suspicion, "answer overdue",
+                                  now);
         }
         if (now >= active.expires_at)
         {
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -208,6 +208,7 @@
         time_point last_probe{}; ///< last probe while suspected
         time_point last_success{};
         time_point last_failure{};
+        std::uint32_t failures_in_row = 0;
         /// Last grant of a request, or when the server was added.
         time_point last_work{};
         bool has_had_work = false;
@@ -267,7 +268,7 @@
 
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
     void decay_suspicion(server_state& server, time_point now) const;
-    void raise_suspicion(const std::string& name,
+    void raise_suspicion(const active_grant& failed,
                          double amount,
                          const char* reason,
                          time_point now);
--- a/tests/placement_floor_test.cpp
+++ b/tests/placement_floor_test.cpp
@@ -1019,8 +1019,9 @@
     EXPECT_GE(this->owner.spread(this->now).with_work, 18U);
 }
 
-// Guards against a part of the servers that may stay without work although there
-// are many requests for each: if few servers are sound, they may be that part.
+// Guards against a part of the servers that may stay without work although
+// there are many requests for each: if few servers are sound, they may be that
+// part.
 TEST_F(an_owner_with_failing_sends, gives_all_servers_work_if_requests_are_many)
 {
     this->other_failures = true;
@@ -1033,6 +1034,34 @@
     }
 }
 
+// Guards against sound servers that stay without work for 2 s after a short
+// fault, or after one answer that was late by chance. The requests that ran at
+// the same time count as one failure.
+TEST_F(an_owner_with_failing_sends, tries_a_server_again_soon_after_one_failure)
+{
+    this->lose_requests_of(recovered);
+    this->other_failures = true;
+    const auto counts = this->run_for(span, 0.5);
+    for (const std::string& server : recovered)
+    {
+        EXPECT_TRUE(counts.contains(server)) << server;
+    }
+}
+
+// Guards against requests that are lost at servers that keep failing.
+TEST_F(an_owner_with_failing_sends, seldom_tries_servers_that_keep_failing)
+{
+    this->lose_requests_of(recovered);
+    this->failing = recovered;
+    this->other_failures = true;
+    auto counts = this->run_for(10s, 0.5);
+    for (const std::string& server : recovered)
+    {
+        // After 1 s, then every 2.5 s.
+        EXPECT_LE(counts[server], 4U) << server;
+    }
+}
+
 // Guards against unrepeatable requests that are lost at suspected servers,
 // although repeatable ones could have been sent there.
 TEST_F(an_owner_with_failing_sends,
