--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -567,9 +567,9 @@
            too_many_fail(counts.failures, counts.results);
 }
 
-// Whether idle servers are to get work: there are requests enough for all, or so
-// many servers are without work that the floor share of those that work may be
-// missed.
+// Whether idle servers are to get work: there are requests enough for all, or
+// so many servers are without work that the floor share of those that work may
+// be missed.
 bool placement::is_short_of_work(time_point now) const
 {
     if (!this->needs_spread(now))
