End the leaving mark of a server without a start time

Cause: the mark of a run is ended only by a newer start. Runs without a start time all have start 0, so a server that had said that it leaves and started again stayed out of use until the instance restarted. A vanished entry that comes back proves no new run, since it may have lapsed.

Change: the registry keeps the sequence number of announcements. A mark for a run without a start time ends with an announcement as ready whose sequence is lower than the last one, and otherwise after 15 minutes, longer than the longest request (10 minutes). A mark that names a start time holds for announcements without one for an hour. For three minutes after the end, news from other instances about such a run is ignored; otherwise instances whose marks end at different times set them again for each other.

--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -12,7 +12,8 @@
 constexpr duration lapse_grace_period = std::chrono::milliseconds(2300);
 
 /// A server that leaves ends within minutes of its removal. Until then its
-/// entry may come back, for example after an outage of the source.
+/// entry may come back, for example after an outage of the source. A mark that
+/// names a start time holds as long for announcements without one.
 constexpr duration gone_mark_lifetime = std::chrono::hours(1);
 constexpr duration mark_check_period = std::chrono::minutes(1);
 /// Marks kept of servers without an entry, which bounds the memory they take
@@ -29,18 +30,42 @@
     {
         return;
     }
-    entry added{announced, std::nullopt};
+    entry added{announced, std::nullopt, announced.leaving};
     const auto mark = this->marks.find(announced.server.name);
     if (mark != this->marks.end())
     {
         mark->second.gone_since.reset();
-        added.announced.leaving |= announced.started <= mark->second.started;
+        note_announcement(mark->second, announced);
+        added.announced.leaving |= holds_for(mark->second, announced.started);
     }
     this->entries[announced.server.name] = std::move(added);
     ++this->change_count;
 }
 
-bool server_registry::mark_leaving(const leaving_run& run, time_point now)
+bool server_registry::holds_for(const leaving_mark& mark, std::uint64_t started)
+{
+    return started == 0 ? !mark.unknown_ended : started <= mark.started;
+}
+
+// Ends the mark for runs without a start time if the announcement is that of a
+// later run. That the announcement has vanished and come back proves nothing,
+// because it may only have lapsed; but a run never counts its announcements
+// from the start again.
+void server_registry::note_announcement(leaving_mark& mark,
+                                        const announced_server& announced)
+{
+    if (announced.started != 0 || mark.unknown_ended)
+    {
+        return;
+    }
+    mark.unknown_ended =
+        !announced.leaving && announced.sequence < mark.sequence;
+    mark.sequence = announced.sequence;
+}
+
+bool server_registry::mark_leaving(const leaving_run& run,
+                                   time_point now,
+                                   leaving_word from)
 {
     const auto registered = this->entries.find(run.server);
     const bool has_entry = registered != this->entries.end();
@@ -49,12 +74,21 @@
     {
         return false;
     }
+    if (run.started == 0 && from == leaving_word::passed_on &&
+        this->has_ended_lately(run.server, now))
+    {
+        return false;
+    }
     leaving_mark& mark = this->marks[run.server];
-    mark.started = run.started;
+    mark.started = std::max(mark.started, run.started);
+    mark.marked_at = now;
+    mark.unknown_ended = false;
+    mark.unknown_ended_at = time_point::max();
     bool known = false;
     if (has_entry)
     {
         announced_server& announced = registered->second.announced;
+        mark.sequence = announced.started == 0 ? announced.sequence : 0;
         known = announced.leaving && announced.started == run.started;
         this->change_count += announced.leaving ? 0 : 1;
         announced.leaving = true;
@@ -71,7 +105,16 @@
 bool server_registry::is_marked_leaving(const leaving_run& run) const
 {
     const auto mark = this->marks.find(run.server);
-    return mark != this->marks.end() && run.started <= mark->second.started;
+    return mark != this->marks.end() && holds_for(mark->second, run.started);
+}
+
+// Whether the mark of a run without a start time has ended a short time ago.
+bool server_registry::has_ended_lately(const std::string& name,
+                                       time_point now) const
+{
+    const auto mark = this->marks.find(name);
+    return mark != this->marks.end() && mark->second.unknown_ended &&
+           now - mark->second.unknown_ended_at < ended_mark_lifetime;
 }
 
 // Removes the server's entry and starts the lifetime of its mark.
@@ -116,6 +159,40 @@
     }
 }
 
+// Ends the marks of runs without a start time that must have ended by now, and
+// drops the ended ones that serve no other purpose.
+void server_registry::end_marks_of_unknown_runs(time_point now)
+{
+    for (auto& [name, mark] : this->marks)
+    {
+        const duration lifetime =
+            mark.started == 0 ? unknown_run_lifetime : gone_mark_lifetime;
+        if (!mark.unknown_ended && now - mark.marked_at >= lifetime)
+        {
+            mark.unknown_ended = true;
+            const auto registered = this->entries.find(name);
+            if (registered != this->entries.end() &&
+                registered->second.announced.started == 0)
+            {
+                entry& current = registered->second;
+                current.announced.leaving = current.says_leaving;
+                ++this->change_count;
+            }
+        }
+        if (mark.unknown_ended)
+        {
+            mark.unknown_ended_at = std::min(mark.unknown_ended_at, now);
+        }
+    }
+    std::erase_if(this->marks,
+                  [now](const auto& named_mark)
+                  {
+                      const leaving_mark& mark = named_mark.second;
+                      return mark.started == 0 && mark.unknown_ended &&
+                             now - mark.unknown_ended_at >= ended_mark_lifetime;
+                  });
+}
+
 void server_registry::remove(const std::string& name,
                              removal_kind kind,
                              time_point now)
@@ -151,6 +228,7 @@
     {
         this->erase_entry(name, now);
     }
+    this->end_marks_of_unknown_runs(now);
     if (now - this->marks_checked_at >= mark_check_period)
     {
         this->drop_old_marks(now);
--- a/medlarbarrow/core/registry.hpp
+++ b/medlarbarrow/core/registry.hpp
@@ -20,6 +20,8 @@
     std::uint64_t started = 0; ///< Unix milliseconds; 0: unknown
     bool leaving = false;      ///< accepts no new requests
     time_point warmed_up_at{}; ///< runs at full speed from this time
+    /// Number of the announcement within its run; never falls during a run.
+    std::uint64_t sequence = 0;
 };
 
 /// How certain it is that a removed server has left.
@@ -36,6 +38,24 @@
     std::uint64_t started = 0; ///< Unix milliseconds; 0: unknown
 };
 
+/// Who has said that a run leaves.
+enum class leaving_word : std::uint8_t
+{
+    own,      ///< the server itself, in an answer to this instance
+    passed_on ///< another instance
+};
+
+/// Time after which a run without a start time that has said that it leaves has
+/// ended. The longest request that it may have to finish takes 10 minutes, the
+/// upper limit of a route's timeout.
+constexpr duration unknown_run_lifetime = std::chrono::minutes(15);
+
+/// After a mark of a run without a start time has ended, what other instances
+/// pass on about such a run is ignored for this time. It concerns the run that
+/// has ended: their marks may end later, and instances would set the mark again
+/// for each other without end.
+constexpr duration ended_mark_lifetime = std::chrono::minutes(3);
+
 /// The servers of all services. A server that is leaving or has been removed
 /// gets no new requests. After an outage of the source, servers whose
 /// announcements have lapsed stay usable for a grace period, because the live
@@ -52,14 +72,19 @@
     void remove(const std::string& name, removal_kind kind, time_point now);
 
     /// Marks a run, and all earlier ones of the same name, as leaving. Only a
-    /// newer run is used again. True if it is news: the
-    /// run was not known to leave, and no newer one is registered.
-    bool mark_leaving(const leaving_run& run, time_point now);
+    /// newer run is used again. Runs without a start time look alike, so their
+    /// mark ends when an announcement shows that the run has ended (its
+    /// sequence starts again), and else after unknown_run_lifetime. True if it
+    /// is news: the run was not known to leave, and no newer one is registered.
+    bool mark_leaving(const leaving_run& run,
+                      time_point now,
+                      leaving_word from = leaving_word::own);
 
     /// Whether this run, or a newer one of the same name, is marked as leaving.
     bool is_marked_leaving(const leaving_run& run) const;
 
     /// Removes servers whose grace period has ended; true if there were any.
+    /// Ends the marks that are due.
     bool tick(time_point now);
 
     /// Null if there is no server of this name.
@@ -81,18 +106,30 @@
 private:
     struct entry
     {
-        announced_server announced;
+        announced_server announced; ///< leaving also if it is marked
         std::optional<time_point> removal_time; ///< end of the grace period
+        bool says_leaving = false;              ///< in its announcement
     };
 
     /// Newest run of a server that is marked as leaving.
     struct leaving_mark
     {
         std::uint64_t started = 0;
+        time_point marked_at{};
+        /// It no longer holds for runs without a start time.
+        bool unknown_ended = false;
+        time_point unknown_ended_at = time_point::max(); ///< at the next tick
+        /// Sequence of the last announcement without a start time.
+        std::uint64_t sequence = 0;
         /// When the server's entry was removed; empty while there is one.
         std::optional<time_point> gone_since;
     };
 
+    static bool holds_for(const leaving_mark& mark, std::uint64_t started);
+    static void note_announcement(leaving_mark& mark,
+                                  const announced_server& announced);
+    bool has_ended_lately(const std::string& name, time_point now) const;
+    void end_marks_of_unknown_runs(time_point now);
     void erase_entry(const std::string& name, time_point now);
     void drop_old_marks(time_point now);
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -374,7 +374,10 @@
 void fleet::state::record_leaving(const core::leaving_run& run,
                                   leaving_source from)
 {
-    if (run.server.empty() || !this->servers.mark_leaving(run, now()))
+    const core::leaving_word word = from == leaving_source::answer
+                                        ? core::leaving_word::own
+                                        : core::leaving_word::passed_on;
+    if (run.server.empty() || !this->servers.mark_leaving(run, now(), word))
     {
         return;
     }
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -162,6 +162,7 @@
     EXPECT_EQ(announced->server.slots, 3U);
     EXPECT_EQ(announced->service, "orders");
     EXPECT_EQ(announced->started, 1'700'000'000'000U);
+    EXPECT_EQ(announced->sequence, 4U);
     EXPECT_EQ(announced->warmed_up_at, start + 1500ms);
     EXPECT_FALSE(announced->leaving);
 }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -136,6 +136,113 @@
     EXPECT_FALSE(this->is_usable("e"));
 }
 
+/// Given a server without a start time that has said that it leaves and goes
+/// on to announce itself as ready.
+class a_registry_with_a_leaving_run_of_unknown_start
+    : public a_registry_with_a_leaving_server
+{
+protected:
+    void SetUp() override
+    {
+        this->announce_run(7);
+        ASSERT_TRUE(this->registry.mark_leaving({"e", 0}, start));
+    }
+
+    void announce_run(std::uint64_t sequence, bool leaving = false)
+    {
+        auto announced = announce("e", 0);
+        announced.sequence = sequence;
+        announced.leaving = leaving;
+        this->registry.put(announced);
+    }
+};
+
+// Guards against a server without a start time that stays out of use for ever
+// after it has left once and started again.
+TEST_F(a_registry_with_a_leaving_run_of_unknown_start, uses_the_next_run)
+{
+    this->registry.remove("e", core::removal_kind::certain, start + 20s);
+    this->announce_run(1);
+    EXPECT_TRUE(this->is_usable("e"));
+    EXPECT_FALSE(this->registry.is_marked_leaving({"e", 0}));
+}
+
+// Guards against an entry that only lapsed, or never vanished, and counts as a
+// new run although the leaving one may still work.
+TEST_F(a_registry_with_a_leaving_run_of_unknown_start, knows_the_same_run_again)
+{
+    this->announce_run(8);
+    EXPECT_FALSE(this->is_usable("e"));
+    for (const auto kind :
+         {core::removal_kind::lapsed, core::removal_kind::certain})
+    {
+        this->registry.remove("e", kind, start + 20s);
+        this->registry.tick(start + 5min);
+        this->announce_run(8);
+        EXPECT_FALSE(this->is_usable("e"));
+    }
+    this->announce_run(1, true);
+    EXPECT_FALSE(this->is_usable("e"));
+    this->announce_run(2);
+    EXPECT_FALSE(this->is_usable("e"));
+}
+
+// Guards against a mark without an end where sequences do not start again,
+// whichever run it was set for and whether or not the server is announced.
+TEST_F(a_registry_with_a_leaving_run_of_unknown_start, is_unmarked_after_a_time)
+{
+    this->registry.put(announce("f", 5));
+    this->registry.mark_leaving({"f", 5}, start);
+    this->registry.remove("f", core::removal_kind::certain, start);
+    this->registry.put(announce("f", 0));
+    this->registry.mark_leaving({"g", 0}, start);
+    const std::uint64_t before = this->registry.version();
+    this->registry.tick(start + core::unknown_run_lifetime - 1s);
+    EXPECT_FALSE(this->is_usable("e"));
+    EXPECT_FALSE(this->is_usable("f"));
+    EXPECT_TRUE(this->registry.is_marked_leaving({"g", 0}));
+    this->registry.tick(start + core::unknown_run_lifetime + 1min);
+    EXPECT_TRUE(this->is_usable("e"));
+    EXPECT_FALSE(this->is_usable("f"));
+    EXPECT_FALSE(this->registry.is_marked_leaving({"g", 0}));
+    EXPECT_NE(this->registry.version(), before);
+    this->registry.tick(start + 1h);
+    EXPECT_TRUE(this->is_usable("f"));
+    EXPECT_TRUE(this->registry.is_marked_leaving({"f", 5}));
+}
+
+// Guards against a server that is taken into use at the end of its mark
+// although its announcement says that it leaves.
+TEST_F(a_registry_with_a_leaving_run_of_unknown_start, still_hears_the_server)
+{
+    this->announce_run(8, true);
+    this->registry.tick(start + core::unknown_run_lifetime + 1min);
+    EXPECT_FALSE(this->is_usable("e"));
+    this->announce_run(1);
+    EXPECT_TRUE(this->is_usable("e"));
+}
+
+// Guards against a mark that instances pass to each other in turn, each after
+// its own has ended, and against a new run whose own word is ignored.
+TEST_F(a_registry_with_a_leaving_run_of_unknown_start, takes_no_late_news)
+{
+    const auto passed_on = core::leaving_word::passed_on;
+    this->announce_run(1);
+    this->registry.tick(start + 10s);
+    EXPECT_FALSE(this->registry.mark_leaving({"e", 0}, start + 20s, passed_on));
+    EXPECT_TRUE(this->is_usable("e"));
+    EXPECT_TRUE(this->registry.mark_leaving({"e", 0}, start + 21s));
+    EXPECT_FALSE(this->is_usable("e"));
+    this->registry.tick(start + core::unknown_run_lifetime + 2min);
+    const auto ended = start + core::unknown_run_lifetime + 2min;
+    EXPECT_TRUE(this->is_usable("e"));
+    EXPECT_FALSE(
+        this->registry.mark_leaving({"e", 0}, ended + 1min, passed_on));
+    this->registry.tick(ended + core::ended_mark_lifetime);
+    EXPECT_TRUE(this->registry.mark_leaving(
+        {"e", 0}, ended + core::ended_mark_lifetime, passed_on));
+}
+
 // Guards against memory that grows with every server that has ever left: old
 // marks of gone servers are dropped, those of announced servers never.
 TEST_F(a_registry_with_a_leaving_server, drops_old_marks_of_gone_servers)
