--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -1,3 +1,5 @@
+#include "owner_handlers.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <medlarbarrow/net/place_calls.hpp>
@@ -151,20 +153,12 @@
     std::vector<sent_message> sent;
     std::vector<core::place_answer> answers;
     core::grant_id grant;
-    net::service_owners owned{
-        this->io,
-        this->shards,
-        this->registry,
-        core::retry_limits{},
-        5,
-        {[](const core::grant_id&,
-            const core::shard_id&,
-            const core::place_answer&) {},
-         [](const core::shard_id&, const core::crash_event&) {},
-         []
-         {
-             return 1.0 / peer_count;
-         }}};
+    net::service_owners owned{this->io,
+                              this->shards,
+                              this->registry,
+                              core::retry_limits{},
+                              5,
+                              tests::owner_handlers(1.0 / peer_count)};
     net::place_calls calls{{this->io, this->members, this->shards, this->owned,
                             own_address, own_instance,
                             [this](core::instance_address recipient,
@@ -328,19 +322,12 @@
     std::vector<decider> deciders;
     for (std::size_t index = 0; index <= alone; ++index)
     {
-        net::service_owners::handlers handlers;
-        handlers.on_answer = [](const core::grant_id&, const core::shard_id&,
-                                const core::place_answer&) {};
-        handlers.on_crash = [](const core::shard_id&,
-                               const core::crash_event&) {};
-        handlers.instance_fraction = [instances]
-        {
-            return 1.0 / static_cast<double>(instances);
-        };
-        deciders.push_back({std::make_unique<net::service_owners>(
-                                io, shards, registry, limits, index, handlers),
-                            index == 0 ? net::decision_scope::fleet
-                                       : net::decision_scope::alone});
+        deciders.push_back(
+            {std::make_unique<net::service_owners>(
+                 io, shards, registry, limits, index,
+                 tests::owner_handlers(1.0 / static_cast<double>(instances))),
+             index == 0 ? net::decision_scope::fleet
+                        : net::decision_scope::alone});
     }
     std::uint64_t number = 0;
     std::size_t requests = 0;
@@ -386,18 +373,12 @@
     fill(registry, server_count);
     core::shard_directory shards(registry, 1);
     std::vector<core::shard_crash_report> reports;
-    net::service_owners::handlers handlers;
-    handlers.on_answer = [](const core::grant_id&, const core::shard_id&,
-                            const core::place_answer&) {};
+    net::service_owners::handlers handlers = tests::owner_handlers(1.0);
     handlers.on_crash =
         [&reports](const core::shard_id& shard, const core::crash_event& crash)
     {
         reports.push_back({{shard.service, 1 - shard.number}, crash});
     };
-    handlers.instance_fraction = []
-    {
-        return 1.0;
-    };
     net::service_owners owners(io, shards, registry, core::retry_limits{}, 1,
                                handlers);
     const auto ask = [&owners](std::uint32_t shard, std::uint64_t number)
--- a/tests/service_owners_test.cpp
+++ b/tests/service_owners_test.cpp
@@ -1,5 +1,6 @@
+#include "owner_handlers.hpp"
+
 #include <gtest/gtest.h>
-#include <medlarbarrow/net/service_owners.hpp>
 
 using namespace medlarbarrow;
 using namespace std::chrono_literals;
@@ -66,20 +67,12 @@
     core::shard_directory shards{this->registry, 5};
     core::shard_id shard{"dispatch", 0};
     std::uint64_t number = 0;
-    net::service_owners owners{
-        this->io,
-        this->shards,
-        this->registry,
-        core::retry_limits{},
-        5,
-        {[](const core::grant_id&,
-            const core::shard_id&,
-            const core::place_answer&) {},
-         [](const core::shard_id&, const core::crash_event&) {},
-         []
-         {
-             return 1.0;
-         }}};
+    net::service_owners owners{this->io,
+                               this->shards,
+                               this->registry,
+                               core::retry_limits{},
+                               5,
+                               tests::owner_handlers(1.0)};
 };
 
 // Guards against failures at servers without work whose cause no line tells,
