Count a server's Retry-After once for each report

Cause: the report of a send's end is repeated until it is acknowledged. Its hold was counted from each arrival, so each repeat made the time longer for which the owner keeps the server from the instance.

Change: the owner records the hold at the first arrival of a report and ignores it in repeats for 5 s. The sender states what is left of the hold in each repeat, so that a report whose first copies are lost does not make the time longer either.

Before: service_owners_test counts_a_hold_once_for_each_report: is_held() Actual: true Expected: false (320 ms after a hold of 300 ms that was reported again after 200 ms) place_calls_test reports_what_is_left_of_a_hold: hold_at(first + 1) <= 250ms, actual: 400000us hold_at(first + 3) Which is: 400000us, expected 0ms Both pass now.

--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -423,6 +423,7 @@
     done_state state;
     state.message = message;
     state.owner = owner;
+    state.reported_at = now();
     state.timer = std::make_unique<asio::steady_timer>(this->parts.io);
     this->done_calls.insert_or_assign(key, std::move(state));
     this->send_done(key);
@@ -444,7 +445,11 @@
         return;
     }
     ++state.unanswered_calls;
-    this->parts.send(state.owner, state.message);
+    core::done_call message = state.message;
+    // The owner counts a hold from the arrival of the report.
+    core::duration& hold = message.statement.retry_after;
+    hold -= std::min(hold, now() - state.reported_at);
+    this->parts.send(state.owner, message);
     run_after(*state.timer, done_call_timeout,
               [this, key]
               {
--- a/medlarbarrow/net/place_calls.hpp
+++ b/medlarbarrow/net/place_calls.hpp
@@ -118,6 +118,7 @@
     {
         core::done_call message;
         core::instance_address owner = 0;
+        core::time_point reported_at{};
         unsigned unanswered_calls = 0;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -15,6 +15,11 @@
 /// work.
 constexpr std::chrono::seconds floor_log_period{1};
 
+/// Time after its first arrival in which a report of a send's end may arrive
+/// again. It is repeated for 0.6 s if it is not acknowledged, and the network
+/// may delay it.
+constexpr std::chrono::seconds report_repeat_time{5};
+
 core::time_point now()
 {
     return core::boot_clock::now();
@@ -70,8 +75,9 @@
     const std::uint64_t placement_seed =
         core::hash_text(core::owner_key(key.shard), this->seed);
     const auto added = this->owned_shards.emplace(
-        key, owned_shard{
-                 core::placement(this->limits_of(key), placement_seed), 0, {}});
+        key,
+        owned_shard{
+            core::placement(this->limits_of(key), placement_seed), 0, {}, {}});
     added.first->second.placement.set_floor_share(this->floor_share);
     this->refresh_servers(key, added.first->second);
     return added.first->second;
@@ -127,6 +133,27 @@
     return named;
 }
 
+// Records the time for which a server has turned an instance away. It counts
+// from the first arrival of the report.
+void service_owners::record_hold(owned_shard& owned,
+                                 const core::done_call& ended) const
+{
+    if (ended.statement.retry_after <= core::duration(0))
+    {
+        return;
+    }
+    std::erase_if(owned.holds_counted,
+                  [current = now()](const auto& counted)
+                  {
+                      return current - counted.second >= report_repeat_time;
+                  });
+    if (owned.holds_counted.emplace(ended.grant, now()).second)
+    {
+        owned.placement.hold(ended.grant.instance,
+                             this->name_run(ended.statement), now());
+    }
+}
+
 void service_owners::on_send_ended(const core::done_call& ended)
 {
     for (auto& [key, owned] : this->owned_shards)
@@ -135,8 +162,7 @@
         {
             continue;
         }
-        owned.placement.hold(ended.grant.instance,
-                             this->name_run(ended.statement), now());
+        this->record_hold(owned, ended);
         if (ended.outcome == core::send_outcome::cancelled)
         {
             owned.placement.cancel(ended.grant, now());
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -97,12 +97,15 @@
         core::placement placement;
         std::uint64_t registry_version = 0; ///< of the current servers
         core::time_point floor_logged_at{}; ///< last such line
+        /// Grants whose hold has been recorded lately, and when.
+        std::map<core::grant_id, core::time_point> holds_counted;
     };
 
     owned_shard& find_or_create(const shard_key& key);
     core::retry_limits limits_of(const shard_key& key) const;
     core::server_statement
     name_run(const core::server_statement& statement) const;
+    void record_hold(owned_shard& owned, const core::done_call& ended) const;
     void refresh_servers(const shard_key& key, owned_shard& owned);
     void update(const shard_key& key, owned_shard& owned);
     void log_missed_floor(const shard_key& key, owned_shard& owned);
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -280,6 +280,28 @@
     EXPECT_TRUE(done.statement.leaving);
 }
 
+// Guards against a report that arrives with a repeat and keeps a server that
+// has turned this instance away out of use for longer than the server has said.
+TEST_F(a_caller_of_two_shards, reports_what_is_left_of_a_hold)
+{
+    this->place();
+    this->reply(this->shard_asked(0), core::placed{"s3", 100ms, 200ms});
+    this->calls.report_send_end(this->grant, core::send_outcome::shed, 90ms,
+                                {"s3", 1, false, 400ms});
+    const std::size_t first = this->sent.size() - 1;
+    this->run_for(800ms);
+    const auto hold_at = [this](std::size_t index)
+    {
+        return std::get<core::done_call>(this->sent.at(index).message)
+            .statement.retry_after;
+    };
+    ASSERT_GE(this->sent.size(), first + 4);
+    EXPECT_GT(hold_at(first), 390ms);
+    EXPECT_LE(hold_at(first + 1), 250ms);
+    EXPECT_LE(hold_at(first + 2), 100ms);
+    EXPECT_EQ(hold_at(first + 3), 0ms);
+}
+
 // Guards against a withdrawn request that keeps its place at one of the two
 // shards.
 TEST_F(a_caller_of_two_shards, withdraws_at_both)
--- a/tests/service_owners_test.cpp
+++ b/tests/service_owners_test.cpp
@@ -177,3 +177,34 @@
     EXPECT_TRUE(std::holds_alternative<core::placed>(this->owners.request(
         this->shard, net::decision_scope::fleet, request)));
 }
+
+// Guards against a report that is repeated until it is acknowledged and makes
+// the time for which a server has turned an instance away longer each time.
+TEST_F(an_owner_of_a_service, counts_a_hold_once_for_each_report)
+{
+    core::done_call end{this->shard, {instance, 1}, core::send_outcome::shed};
+    end.statement = {"s0", 1, false, 300ms};
+    const auto is_held = [this]
+    {
+        core::place_request request;
+        request.grant = {instance, 100 + ++this->number};
+        request.time_to_objective = 1s;
+        request.time_to_deadline = 2s;
+        request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
+                                    "s6", "s7", "s8", "s9"};
+        const core::place_answer answer = this->owners.request(
+            this->shard, net::decision_scope::fleet, request);
+        this->owners.on_send_ended({this->shard, request.grant});
+        return !std::holds_alternative<core::placed>(answer);
+    };
+    ASSERT_FALSE(is_held());
+    this->owners.on_send_ended(end);
+    EXPECT_TRUE(is_held());
+    std::this_thread::sleep_for(200ms);
+    this->owners.on_send_ended(end);
+    std::this_thread::sleep_for(120ms);
+    EXPECT_FALSE(is_held());
+    end.grant.number = 2;
+    this->owners.on_send_ended(end);
+    EXPECT_TRUE(is_held());
+}
