Count dropped log lines once

Cause: fleet_instance passed the total number of dropped log lines to metrics::log_lines_dropped() at each scrape, which added it to the counter. medlard passed the increase, as the function expected.

Change: the function takes the total, so that neither daemon has to keep the last one.

Before: admin_test have_bounded_labels_and_units_in_their_names, with totals of 2 and 3 at two scrapes, did not find "medlar_log_lines_dropped_total 3" (the counter was 5). It passes now.

--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -419,10 +419,7 @@
     // the metrics.
     void count_traffic()
     {
-        const std::uint64_t lines = log::dropped_lines();
-        this->instance_metrics.log_lines_dropped(lines -
-                                                 this->reported_dropped_lines);
-        this->reported_dropped_lines = lines;
+        this->instance_metrics.log_lines_dropped(log::dropped_lines());
         if (!this->links)
         {
             return;
@@ -719,7 +716,6 @@
     std::unique_ptr<admin> admin_listener;
     metrics instance_metrics;
     peer_counters reported_traffic;
-    std::uint64_t reported_dropped_lines = 0;
     snapshot latest_snapshot;
     bool shutting_down = false;
     bool requests_finished = false;
--- a/medlarbarrow/net/metrics.cpp
+++ b/medlarbarrow/net/metrics.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <map>
 #include <medlarbarrow/net/metrics.hpp>
 #include <mutex>
@@ -154,6 +155,7 @@
                  "medlar_log_lines_dropped_total",
                  "Log lines dropped by a full queue or the rate limit.")
             .Add({});
+    std::atomic<std::uint64_t> dropped_lines_counted = 0;
     prometheus::Gauge& document_version =
         gauge(registry,
               "medlar_document_version",
@@ -232,9 +234,21 @@
     byte_counter.Increment(static_cast<double>(bytes));
 }
 
-void metrics::log_lines_dropped(std::uint64_t lines)
+// A counter can only be increased. The new value is kept first, so that calls
+// from several threads add each line once.
+void metrics::log_lines_dropped(std::uint64_t total)
 {
-    this->self->dropped_lines.Increment(static_cast<double>(lines));
+    std::uint64_t counted = this->self->dropped_lines_counted;
+    while (counted < total &&
+           !this->self->dropped_lines_counted.compare_exchange_weak(counted,
+                                                                    total))
+    {
+    }
+    if (counted < total)
+    {
+        this->self->dropped_lines.Increment(
+            static_cast<double>(total - counted));
+    }
 }
 
 void metrics::set_view(const core::node_view& view)
--- a/medlarbarrow/net/metrics.hpp
+++ b/medlarbarrow/net/metrics.hpp
@@ -64,8 +64,9 @@
                              std::uint64_t messages,
                              std::uint64_t bytes);
 
-    /// Adds log lines dropped since the previous call.
-    void log_lines_dropped(std::uint64_t lines);
+    /// Sets the total number of log lines dropped since the start. A lower
+    /// total than before changes nothing.
+    void log_lines_dropped(std::uint64_t total);
 
     /// Sets the gauges for versions, readiness, instances and requests.
     void set_view(const core::node_view& view);
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -179,6 +179,8 @@
                           milliseconds(1));
     metrics.count_limit_refusal(core::result_code::rate_exceeded);
     metrics.ejection(net::ejection_event::kept_by_floor);
+    // The total at each of two scrapes.
+    metrics.log_lines_dropped(2);
     metrics.log_lines_dropped(3);
     for (int type = 0; type < 1000; ++type)
     {
