End a leaving mark for earlier starts after an hour

Cause: a mark holds for all runs of an earlier start, and marks of announced servers are never dropped. A server whose clock was ahead when it left, or about which a report names a start that never comes, stayed out of use for as long as it was announced.

Change: a mark holds for an hour for runs that it does not name, as marks of gone servers do, and without a limit for the run that it names. What is announced after that time with an earlier start is the present run.

--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -13,7 +13,7 @@
 
 /// A server that leaves ends within minutes of its removal. Until then its
 /// entry may come back, for example after an outage of the source. A mark that
-/// names a start time holds as long for announcements without one.
+/// names a start time holds as long for runs of an earlier or no start time.
 constexpr duration gone_mark_lifetime = std::chrono::hours(1);
 constexpr duration mark_check_period = std::chrono::minutes(1);
 /// Marks kept of servers without an entry, which bounds the memory they take
@@ -44,7 +44,8 @@
 
 bool server_registry::holds_for(const leaving_mark& mark, std::uint64_t started)
 {
-    return started == 0 ? !mark.unknown_ended : started <= mark.started;
+    const bool names_run = started != 0 && started == mark.started;
+    return names_run || (started <= mark.started && !mark.others_ended);
 }
 
 // Ends the mark for runs without a start time if the announcement is that of a
@@ -54,11 +55,11 @@
 void server_registry::note_announcement(leaving_mark& mark,
                                         const announced_server& announced)
 {
-    if (announced.started != 0 || mark.unknown_ended)
+    if (announced.started != 0 || mark.others_ended)
     {
         return;
     }
-    mark.unknown_ended =
+    mark.others_ended =
         !announced.leaving && announced.sequence < mark.sequence;
     mark.sequence = announced.sequence;
 }
@@ -82,8 +83,8 @@
     leaving_mark& mark = this->marks[run.server];
     mark.started = std::max(mark.started, run.started);
     mark.marked_at = now;
-    mark.unknown_ended = false;
-    mark.unknown_ended_at = time_point::max();
+    mark.others_ended = false;
+    mark.others_ended_at = time_point::max();
     bool known = false;
     if (has_entry)
     {
@@ -113,8 +114,8 @@
                                        time_point now) const
 {
     const auto mark = this->marks.find(name);
-    return mark != this->marks.end() && mark->second.unknown_ended &&
-           now - mark->second.unknown_ended_at < ended_mark_lifetime;
+    return mark != this->marks.end() && mark->second.others_ended &&
+           now - mark->second.others_ended_at < ended_mark_lifetime;
 }
 
 // Removes the server's entry and starts the lifetime of its mark.
@@ -159,37 +160,39 @@
     }
 }
 
-// Ends the marks of runs without a start time that must have ended by now, and
-// drops the ended ones that serve no other purpose.
-void server_registry::end_marks_of_unknown_runs(time_point now)
+// Ends the marks for runs that they don't name and that must have ended by now.
+// If such a run is still announced, it is the present one: its start time is
+// unknown or earlier, for example because the clock was ahead before. Drops the
+// marks that serve no other purpose.
+void server_registry::end_marks_of_other_runs(time_point now)
 {
     for (auto& [name, mark] : this->marks)
     {
         const duration lifetime =
             mark.started == 0 ? unknown_run_lifetime : gone_mark_lifetime;
-        if (!mark.unknown_ended && now - mark.marked_at >= lifetime)
+        if (!mark.others_ended && now - mark.marked_at >= lifetime)
         {
-            mark.unknown_ended = true;
+            mark.others_ended = true;
             const auto registered = this->entries.find(name);
             if (registered != this->entries.end() &&
-                registered->second.announced.started == 0)
+                !holds_for(mark, registered->second.announced.started))
             {
                 entry& current = registered->second;
                 current.announced.leaving = current.says_leaving;
                 ++this->change_count;
             }
         }
-        if (mark.unknown_ended)
+        if (mark.others_ended)
         {
-            mark.unknown_ended_at = std::min(mark.unknown_ended_at, now);
+            mark.others_ended_at = std::min(mark.others_ended_at, now);
         }
     }
     std::erase_if(this->marks,
                   [now](const auto& named_mark)
                   {
                       const leaving_mark& mark = named_mark.second;
-                      return mark.started == 0 && mark.unknown_ended &&
-                             now - mark.unknown_ended_at >= ended_mark_lifetime;
+                      return mark.started == 0 && mark.others_ended &&
+                             now - mark.others_ended_at >= ended_mark_lifetime;
                   });
 }
 
@@ -228,7 +231,7 @@
     {
         this->erase_entry(name, now);
     }
-    this->end_marks_of_unknown_runs(now);
+    this->end_marks_of_other_runs(now);
     if (now - this->marks_checked_at >= mark_check_period)
     {
         this->drop_old_marks(now);
--- a/medlarbarrow/core/registry.hpp
+++ b/medlarbarrow/core/registry.hpp
@@ -74,8 +74,9 @@
     /// Marks a run, and all earlier ones of the same name, as leaving. Only a
     /// newer run is used again. Runs without a start time look alike, so their
     /// mark ends when an announcement shows that the run has ended (its
-    /// sequence starts again), and else after unknown_run_lifetime. True if it
-    /// is news: the run was not known to leave, and no newer one is registered.
+    /// sequence starts again), and else after unknown_run_lifetime. A mark that
+    /// names a start holds for other runs for an hour. True if it is news: the
+    /// run was not known to leave, and no newer one is registered.
     bool mark_leaving(const leaving_run& run,
                       time_point now,
                       leaving_word from = leaving_word::own);
@@ -116,9 +117,10 @@
     {
         std::uint64_t started = 0;
         time_point marked_at{};
-        /// It no longer holds for runs without a start time.
-        bool unknown_ended = false;
-        time_point unknown_ended_at = time_point::max(); ///< at the next tick
+        /// It holds only for the run of that start, no longer for earlier ones
+        /// or ones without a start time.
+        bool others_ended = false;
+        time_point others_ended_at = time_point::max(); ///< at the next tick
         /// Sequence of the last announcement without a start time.
         std::uint64_t sequence = 0;
         /// When the server's entry was removed; empty while there is one.
@@ -129,7 +131,7 @@
     static void note_announcement(leaving_mark& mark,
                                   const announced_server& announced);
     bool has_ended_lately(const std::string& name, time_point now) const;
-    void end_marks_of_unknown_runs(time_point now);
+    void end_marks_of_other_runs(time_point now);
     void erase_entry(const std::string& name, time_point now);
     void drop_old_marks(time_point now);
 
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -93,6 +93,27 @@
     EXPECT_FALSE(this->registry.is_marked_leaving({"a", 6}));
 }
 
+// Guards against a server that stays out of use for ever because its clock was
+// ahead when it left, or because of a report about a run that never comes: a
+// run of an earlier start is then the present one.
+TEST_F(a_registry_with_a_leaving_server, uses_an_earlier_start_after_an_hour)
+{
+    this->registry.put(announce("h", 9));
+    this->registry.mark_leaving({"h", 9}, start);
+    this->registry.remove("h", core::removal_kind::certain, start);
+    this->registry.put(announce("h", 5));
+    this->registry.mark_leaving({"b", 8}, start);
+    this->registry.tick(start + 59min);
+    EXPECT_FALSE(this->is_usable("h"));
+    EXPECT_FALSE(this->is_usable("b"));
+    this->registry.tick(start + 1h);
+    EXPECT_TRUE(this->is_usable("h"));
+    EXPECT_TRUE(this->is_usable("b"));
+    EXPECT_FALSE(this->is_usable("a"));
+    this->registry.put(announce("b", 8));
+    EXPECT_FALSE(this->is_usable("b"));
+}
+
 // Guards against a late report about an earlier run that takes a newer one out
 // of use.
 TEST_F(a_registry_with_a_leaving_server, ignores_marks_of_older_runs)
