--- a/tests/service_owners_test.cpp
+++ b/tests/service_owners_test.cpp
@@ -57,6 +57,25 @@
         }
     }
 
+    /// Asks for the first server on behalf of an instance. Whether it was
+    /// granted; the grant is then given up, with the statement.
+    bool grants_s0_to(std::uint64_t from,
+                      const core::server_statement& stated = {})
+    {
+        core::place_request request;
+        request.grant = {from, ++this->number};
+        request.time_to_objective = 1s;
+        request.time_to_deadline = 2s;
+        request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
+                                    "s6", "s7", "s8", "s9"};
+        const core::place_answer answer = this->owners.request(
+            this->shard, net::decision_scope::fleet, request);
+        core::done_call end{this->shard, request.grant};
+        end.statement = stated;
+        this->owners.on_send_ended(end);
+        return std::holds_alternative<core::placed>(answer);
+    }
+
     void run_for(std::chrono::milliseconds time)
     {
         this->io.restart();
@@ -133,78 +152,40 @@
 // that does not know it yet, or keeps it from the others.
 TEST_F(an_owner_of_a_service, spares_an_instance_a_server_unknown_to_it)
 {
-    const auto ask = [this](std::uint64_t from)
-    {
-        core::place_request request;
-        request.grant = {from, ++this->number};
-        request.time_to_objective = 1s;
-        request.time_to_deadline = 2s;
-        request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
-                                    "s6", "s7", "s8", "s9"};
-        const core::place_answer answer = this->owners.request(
-            this->shard, net::decision_scope::fleet, request);
-        core::done_call end{this->shard, request.grant};
-        // The instance does not know the start of the run.
-        end.statement = {"s0", 0, false, 500ms};
-        this->owners.on_send_ended(end);
-        return std::holds_alternative<core::placed>(answer);
-    };
-    EXPECT_TRUE(ask(instance));
-    EXPECT_FALSE(ask(instance));
-    EXPECT_TRUE(ask(instance + 1));
+    // The instance does not know the start of the run.
+    const core::server_statement unknown{"s0", 0, false, 500ms};
+    EXPECT_TRUE(this->grants_s0_to(instance, unknown));
+    EXPECT_FALSE(this->grants_s0_to(instance));
+    EXPECT_TRUE(this->grants_s0_to(instance + 1, unknown));
     EXPECT_EQ(this->owners.spreads().front().work.failures, 0U);
     std::this_thread::sleep_for(550ms);
-    EXPECT_TRUE(ask(instance));
+    EXPECT_TRUE(this->grants_s0_to(instance));
 }
 
 // Guards against a statement without a start time that keeps a run with one out
 // of use for long: it may concern an earlier run.
 TEST_F(an_owner_of_a_service, cuts_a_hold_that_names_no_run)
 {
-    core::done_call end{this->shard, {instance, 1}};
-    end.statement = {"s0", 0, false, 5min};
-    core::place_request request;
-    request.grant = {instance, 2};
-    request.time_to_objective = 1s;
-    request.time_to_deadline = 2s;
-    request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
-                                "s6", "s7", "s8", "s9"};
-    this->owners.request(this->shard, net::decision_scope::fleet, request);
-    this->owners.on_send_ended({this->shard, request.grant});
-    this->owners.on_send_ended(end);
+    EXPECT_TRUE(this->grants_s0_to(instance, {"s0", 0, false, 5min}));
     std::this_thread::sleep_for(550ms);
-    request.grant.number = 3;
-    EXPECT_TRUE(std::holds_alternative<core::placed>(this->owners.request(
-        this->shard, net::decision_scope::fleet, request)));
+    EXPECT_TRUE(this->grants_s0_to(instance));
 }
 
 // Guards against a report that is repeated until it is acknowledged and makes
 // the time for which a server has turned an instance away longer each time.
 TEST_F(an_owner_of_a_service, counts_a_hold_once_for_each_report)
 {
-    core::done_call end{this->shard, {instance, 1}, core::send_outcome::shed};
+    ASSERT_TRUE(this->grants_s0_to(instance));
+    core::done_call end{
+        this->shard, {instance, ++this->number}, core::send_outcome::shed};
     end.statement = {"s0", 1, false, 300ms};
-    const auto is_held = [this]
-    {
-        core::place_request request;
-        request.grant = {instance, 100 + ++this->number};
-        request.time_to_objective = 1s;
-        request.time_to_deadline = 2s;
-        request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
-                                    "s6", "s7", "s8", "s9"};
-        const core::place_answer answer = this->owners.request(
-            this->shard, net::decision_scope::fleet, request);
-        this->owners.on_send_ended({this->shard, request.grant});
-        return !std::holds_alternative<core::placed>(answer);
-    };
-    ASSERT_FALSE(is_held());
     this->owners.on_send_ended(end);
-    EXPECT_TRUE(is_held());
+    EXPECT_FALSE(this->grants_s0_to(instance));
     std::this_thread::sleep_for(200ms);
     this->owners.on_send_ended(end);
     std::this_thread::sleep_for(120ms);
-    EXPECT_FALSE(is_held());
-    end.grant.number = 2;
+    EXPECT_TRUE(this->grants_s0_to(instance));
+    end.grant.number = ++this->number;
     this->owners.on_send_ended(end);
-    EXPECT_TRUE(is_held());
+    EXPECT_FALSE(this->grants_s0_to(instance));
 }
