Keep removed items removed when an older listing has them

Cause: a removal that has come from another instance erased the item. An own listing that was begun before then brought it back, and the watch goes on after the removal, so the server stayed registered without an end.

Change: an item that is not stored is ignored if a kept removal of its key has a later revision.

Before: published_test stay_removed_when_an_older_listing_has_them: servers().find("i-7") Which is: 0xaaab241989b0, expected nullptr It passes now, with the other 16 cases.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -112,10 +112,27 @@
     }
 }
 
+// Whether the item has been removed after its revision, as far as removals are
+// kept.
+bool published::is_removed(const published_item& item) const
+{
+    return std::any_of(this->removals.begin(), this->removals.end(),
+                       [&item](const removed_item& removed)
+                       {
+                           return removed.key == item.key &&
+                                  removed.revision > item.revision;
+                       });
+}
+
 // Stores and applies an item; true if its revision is new. An item of the
-// stored revision is applied again only if it announces a server.
+// stored revision is applied again only if it announces a server. A listing may
+// be older than a removal that has come from another instance.
 bool published::store(const published_item& item, core::time_point now)
 {
+    if (!this->items.contains(item.key) && this->is_removed(item))
+    {
+        return false;
+    }
     stored_item& stored = this->items[item.key];
     if (item.revision < stored.revision ||
         (item.revision == stored.revision && stored.revision != 0 &&
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -149,6 +149,7 @@
     };
 
     void raise_revision(std::uint64_t revision, core::time_point now);
+    bool is_removed(const published_item& item) const;
     bool store(const published_item& item, core::time_point now);
     bool remove(const std::string& key,
                 std::uint64_t revision,
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -426,6 +426,22 @@
     EXPECT_NE(this->current.servers().find("a"), nullptr);
 }
 
+// Guards against a server that is used again after its removal, and without an
+// end: a listing that was begun before the removal became known still has it.
+TEST_F(published_items, stay_removed_when_an_older_listing_has_them)
+{
+    const auto listed = this->listed_item("servers/i-7", server(), 95);
+    this->current.apply_changes({listed}, 95, start);
+    this->current.apply_changes({this->removed_item("servers/i-7", 100)}, 100,
+                                start);
+    this->current.apply_listing({listed}, 98, core::removal_kind::certain,
+                                start);
+    EXPECT_EQ(this->current.servers().find("i-7"), nullptr);
+    this->current.apply_changes(
+        {this->listed_item("servers/i-7", server(), 101)}, 101, start);
+    EXPECT_NE(this->current.servers().find("i-7"), nullptr);
+}
+
 // Guards against a text from a peer that is cut off and still changes the
 // published items.
 RC_GTEST_PROP(a_text_from_a_peer, changes_nothing_when_it_is_damaged, ())
