medlard: answer each request before the shutdown limit

Cause: entry::drain() used the plan only to refuse late requests. At the shutdown limit the event loop ended whatever still ran or waited, so its callers saw a closed connection. instance.cpp also planned without a margin for the last messages.

Change: the entry follows core::shutdown_plan to its end. At waiting_refused_at() nothing is sent to servers any more; requests that wait for a server or a connection, or have arrived only in part, are refused with shutting_down. At running_ended_at() the callers of requests at a server get 504 with outcome unknown. An attempt writes through net/attempt_channel, which is then detached, so that a late answer cannot follow; an order that its server has completely goes on and its result is recorded until the exit. A refusal states "not run" only if no attempt of the request can have reached a server. A send that was withheld is no longer an error of its server (node_requests), and the end of a drain close to the limit no longer exceeds it.

--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -45,6 +45,8 @@
     case attempt_end::caller_gone:
         return attempt_outcome::abandoned;
     case attempt_end::not_sent:
+        return result.withheld ? attempt_outcome::abandoned
+                               : attempt_outcome::failed;
     case attempt_end::closed_early:
     case attempt_end::answer_cut_off:
         return attempt_outcome::failed;
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/net/attempt_channel.hpp>
 #include <medlarbarrow/net/caller.hpp>
 #include <medlarbarrow/net/entry.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -178,7 +179,8 @@
           send_function send_to_peers)
         : io(context), settings(entry_settings), node(decisions),
           send(std::move(send_to_peers)), acceptor(context),
-          sweep_timer(context), capacity_changed(context.get_executor()),
+          sweep_timer(context), waiting_timer(context), running_timer(context),
+          capacity_changed(context.get_executor()),
           servers(context.get_executor(), entry_settings.bounds)
     {
     }
@@ -192,6 +194,11 @@
     void remove(session& ended_session);
     void sweep();
     void check_drained();
+    void run_at(asio::steady_timer& timer,
+                core::time_point time,
+                void (state::*action)());
+    void end_waiting();
+    void end_running();
     std::uint64_t body_limit_of(const std::string& route) const;
 
     asio::io_context& io;
@@ -203,6 +210,8 @@
     tcp::acceptor acceptor;
     tcp::endpoint local;
     asio::steady_timer sweep_timer;
+    asio::steady_timer waiting_timer; ///< runs end_waiting() in a drain
+    asio::steady_timer running_timer; ///< runs end_running() in a drain
     signal capacity_changed; ///< a connection ended or drain() was called
     upstream servers;
     entry_counters counts;
@@ -211,6 +220,7 @@
     std::set<session*> waiting_sessions; ///< in step_wait
     bool draining = false;
     std::optional<core::shutdown_plan> plan; ///< set by drain()
+    bool sending_ended = false; ///< nothing is sent to servers any more
     std::function<void()> drained;
 };
 
@@ -223,7 +233,8 @@
         : shared(std::move(entry_state)),
           caller(std::make_shared<caller_connection>(
               caller_stream(std::move(socket), this->shared->tls.get()),
-              this->shared->settings.bounds))
+              this->shared->settings.bounds)),
+          cut_changed(this->shared->io.get_executor())
     {
     }
 
@@ -234,6 +245,9 @@
         return *this->caller;
     }
 
+    /// Answers the request that runs at a server, if any, without its server.
+    void end_running();
+
 private:
     enum class progress
     {
@@ -248,11 +262,15 @@
     asio::awaitable<void> run_steps();
     asio::awaitable<progress> execute(const core::step& step);
     asio::awaitable<progress> wait(core::time_point until);
+    asio::awaitable<core::attempt_result>
+    run_attempt(const core::step_send& step);
     asio::awaitable<progress> attempt(const core::step_send& step);
     asio::awaitable<void> replay(const core::stored_answer& answer);
     asio::awaitable<void> refuse(const core::step_refuse& refusal);
     asio::awaitable<void> refuse_body();
     asio::awaitable<void> refuse_for_shutdown();
+    asio::awaitable<progress> give_up_for_shutdown();
+    asio::awaitable<void> answer_outcome_unknown();
     void finish_attempt(const core::attempt_result& result);
     void abandon();
     void write_log();
@@ -271,6 +289,11 @@
     request_summary summary;
     std::optional<core::request_id> id; ///< set while the node tracks it
     std::optional<core::attempt_result> previous_result;
+    bool may_have_run = false; ///< an attempt may have reached a server
+    std::shared_ptr<attempt_channel> channel; ///< set during an attempt
+    bool cut = false;          ///< end_running() answers the last request
+    bool cut_answered = false; ///< that answer has been written
+    signal cut_changed;
 };
 
 // Hands the node's messages to the peers' transport.
@@ -397,6 +420,8 @@
     }
     this->servers.close_idle();
     this->sweep_timer.cancel();
+    this->waiting_timer.cancel();
+    this->running_timer.cancel();
     const auto callback = std::exchange(this->drained, nullptr);
     callback();
 }
@@ -417,6 +442,43 @@
         });
 }
 
+// Calls the action at the given time, unless the timer is cancelled before.
+void entry::state::run_at(asio::steady_timer& timer,
+                          core::time_point time,
+                          void (state::*action)())
+{
+    timer.expires_at(to_steady_time(time));
+    timer.async_wait(
+        [weak = this->weak_from_this(), action](error_code failure)
+        {
+            const auto self = weak.lock();
+            if (!failure && self)
+            {
+                (*self.*action)();
+            }
+        });
+}
+
+// Refuses the requests that wait for a server or have arrived only in part.
+void entry::state::end_waiting()
+{
+    this->sending_ended = true;
+    this->servers.stop_sending();
+    for (session* open_session : this->sessions)
+    {
+        open_session->connection().expire_reading();
+    }
+}
+
+// Answers the requests that still run at a server.
+void entry::state::end_running()
+{
+    for (session* open_session : this->sessions)
+    {
+        open_session->end_running();
+    }
+}
+
 asio::awaitable<void> entry::state::session::run(std::shared_ptr<session> self)
 {
     try
@@ -478,7 +540,13 @@
     }
     ++this->shared->counts.requests;
     this->request = {};
+    this->may_have_run = false;
     this->caller->close_after_answer();
+    if (status == head_status::timed_out && this->shared->sending_ended)
+    {
+        co_await this->refuse_for_shutdown();
+        co_return;
+    }
     core::step_refuse refusal;
     refusal.code = result_code::bad_request;
     if (status == head_status::too_large)
@@ -497,6 +565,7 @@
 {
     this->hop = {};
     this->previous_result.reset();
+    this->may_have_run = false;
     this->account.clear();
     this->route.clear();
     this->server.clear();
@@ -532,6 +601,11 @@
     }
     if (!co_await this->caller->prefetch(digested_body_bytes))
     {
+        if (this->shared->sending_ended && !this->caller->is_body_malformed())
+        {
+            co_await this->refuse_for_shutdown();
+            co_return false;
+        }
         co_await this->refuse_body();
         co_return false;
     }
@@ -601,10 +675,15 @@
 }
 
 // Waits until the node may have a next step. The request ends if the caller
-// disconnects meanwhile.
+// disconnects meanwhile, or if nothing is sent to servers any more.
 asio::awaitable<entry::state::session::progress>
 entry::state::session::wait(core::time_point until)
 {
+    if (this->shared->sending_ended)
+    {
+        const progress state = co_await this->give_up_for_shutdown();
+        co_return state;
+    }
     // Wait at least 1 ms: a deadline in the past would make the loop busy.
     const core::time_point earliest = core::boot_clock::now() + milliseconds(1);
     this->shared->waiting_sessions.insert(this);
@@ -626,6 +705,36 @@
     this->shared->flush(out);
 }
 
+// Sends the request to the server and tells the node how that ended.
+asio::awaitable<core::attempt_result>
+entry::state::session::run_attempt(const core::step_send& step)
+{
+    using core::attempt_end;
+    ++this->hop.attempts;
+    this->server = step.server.name;
+    const core::time_point sent = core::boot_clock::now();
+    this->channel = std::make_shared<attempt_channel>(this->caller);
+    this->caller->on_disconnect =
+        [weak = std::weak_ptr<attempt_channel>(this->channel)]
+    {
+        const auto current = weak.lock();
+        if (current && current->on_disconnect)
+        {
+            current->on_disconnect();
+        }
+    };
+    const core::attempt_result result = co_await this->shared->servers.attempt(
+        step, this->request, this->span, *this->channel);
+    this->caller->on_disconnect = nullptr;
+    this->channel.reset();
+    this->summary.attempt_time += core::boot_clock::now() - sent;
+    this->previous_result = result;
+    this->may_have_run |= result.end != attempt_end::not_sent &&
+                          result.end != attempt_end::refused_not_run;
+    this->finish_attempt(result);
+    co_return result;
+}
+
 asio::awaitable<entry::state::session::progress>
 entry::state::session::attempt(const core::step_send& step)
 {
@@ -645,14 +754,21 @@
         co_await this->refuse({code, !not_run, {}});
         co_return progress::ended;
     }
-    ++this->hop.attempts;
-    this->server = step.server.name;
-    const core::time_point sent = core::boot_clock::now();
-    const core::attempt_result result = co_await this->shared->servers.attempt(
-        step, this->request, this->span, *this->caller);
-    this->summary.attempt_time += core::boot_clock::now() - sent;
-    this->previous_result = result;
-    this->finish_attempt(result);
+    const core::attempt_result result = co_await this->run_attempt(step);
+    if (this->cut)
+    {
+        while (!this->cut_answered)
+        {
+            co_await this->cut_changed.wait();
+        }
+        this->abandon();
+        co_return progress::ended;
+    }
+    if (result.withheld)
+    {
+        const progress state = co_await this->give_up_for_shutdown();
+        co_return state;
+    }
     if (this->caller->is_answer_complete())
     {
         ++this->shared->counts.answered;
@@ -696,13 +812,52 @@
 {
     core::step_refuse refusal;
     refusal.code = result_code::shutting_down;
-    refusal.outcome_unknown = !this->request.facts.idempotency_key.empty();
+    refusal.outcome_unknown =
+        this->may_have_run || !this->request.facts.idempotency_key.empty();
     refusal.retry_after = std::chrono::duration_cast<milliseconds>(
         this->shared->plan->retry_after());
     this->caller->close_after_answer();
     co_await this->refuse(refusal);
 }
 
+// Ends a request for which no server was found before the end of the shutdown.
+asio::awaitable<entry::state::session::progress>
+entry::state::session::give_up_for_shutdown()
+{
+    this->abandon();
+    co_await this->refuse_for_shutdown();
+    co_return progress::ended;
+}
+
+// The attempt may go on: an order that its server has completely is recorded
+// if it is answered before the exit.
+void entry::state::session::end_running()
+{
+    if (!this->channel || this->caller->has_answer_started())
+    {
+        return;
+    }
+    log::write(log::level::warning, "stop_cut",
+               {log::kv("route", this->route), log::kv("server", this->server),
+                log::kv("answer", "outcome_unknown")});
+    this->cut = true;
+    this->channel->detach();
+    asio::co_spawn(this->shared->io, this->answer_outcome_unknown(),
+                   [self = this->shared_from_this()](const std::exception_ptr&)
+                   {
+                       self->cut_answered = true;
+                       self->cut_changed.notify();
+                   });
+}
+
+// Tells the caller that its request may have run.
+asio::awaitable<void> entry::state::session::answer_outcome_unknown()
+{
+    const core::step_refuse refusal{result_code::server_timeout, true, {}};
+    this->caller->close_after_answer();
+    co_await this->refuse(refusal);
+}
+
 asio::awaitable<void>
 entry::state::session::refuse(const core::step_refuse& refusal)
 {
@@ -859,6 +1014,10 @@
     this->self->plan = plan;
     this->self->drained = std::move(drained);
     this->self->close_acceptor();
+    this->self->run_at(this->self->waiting_timer, plan.waiting_refused_at(),
+                       &state::end_waiting);
+    this->self->run_at(this->self->running_timer, plan.running_ended_at(),
+                       &state::end_running);
     for (state::session* session : this->self->sessions)
     {
         session->connection().drain();
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -103,8 +103,9 @@
     void notify_changed();
 
     /// Stops accepting, finishes all requests and closes connections as they
-    /// become idle. Refuses requests that come too late for the plan. Calls
-    /// `drained` once when all are closed.
+    /// become idle. Follows the plan for requests that come too late, that
+    /// wait for a server at its end, or that still run then. Calls `drained`
+    /// once when all connections are closed.
     void drain(const core::shutdown_plan& plan, std::function<void()> drained);
 
     /// Sets a callback that runs on the entry's thread whenever a request has
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -256,7 +257,8 @@
         core::outbox out = this->node.shut_down(now);
         this->send(out);
         this->entry_point->drain(
-            core::shutdown_plan(now.monotonic, this->shutdown_limit, {}),
+            core::shutdown_plan(now.monotonic, this->shutdown_limit,
+                                final_send_time),
             [this]
             {
                 this->post_to_control(all_requests_finished{});
@@ -602,24 +604,25 @@
 
     void handle(control_event& event)
     {
-        std::visit(core::overloaded{[this](core::outgoing& message)
-                                    {
-                                        if (this->links)
-                                        {
-                                            this->links->send(
-                                                std::move(message));
-                                        }
-                                    },
-                                    [this](snapshot& update)
-                                    {
-                                        this->publish(std::move(update));
-                                    },
-                                    [this](all_requests_finished&)
-                                    {
-                                        this->requests_finished = true;
-                                        this->stop_after(final_send_time);
-                                    }},
-                   event);
+        std::visit(
+            core::overloaded{[this](core::outgoing& message)
+                             {
+                                 if (this->links)
+                                 {
+                                     this->links->send(std::move(message));
+                                 }
+                             },
+                             [this](snapshot& update)
+                             {
+                                 this->publish(std::move(update));
+                             },
+                             [this](all_requests_finished&)
+                             {
+                                 this->requests_finished = true;
+                                 this->stop_after(std::min(
+                                     final_send_time, this->time_to_limit()));
+                             }},
+            event);
     }
 
     // Stores a snapshot for operators, and logs and counts its events.
@@ -690,6 +693,13 @@
         this->await_signal();
     }
 
+    // Time until the limit that on_signal() has set.
+    std::chrono::milliseconds time_to_limit() const
+    {
+        return std::chrono::floor<std::chrono::milliseconds>(
+            this->stop_timer.expiry() - std::chrono::steady_clock::now());
+    }
+
     // Ends run() of the control thread after `period`; replaces an earlier
     // limit.
     void stop_after(std::chrono::milliseconds period)
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -200,7 +200,7 @@
         server.port = this->backend->port();
         server.data_centre = "suva";
         server.slots = this->options.slots;
-        server.connections = 360;
+        server.connections = this->connections;
         this->document->services = {{"logbook", {}, {server}}};
         core::node_settings own_settings;
         own_settings.self = {"entry-1", 1};
@@ -262,6 +262,7 @@
     config::settings settings;
     std::shared_ptr<core::document> document;
     standin::server_options options;
+    std::uint32_t connections = 360; ///< limit of the server in the document
     std::unique_ptr<standin::server> backend;
     std::unique_ptr<core::node> node;
     asio::io_context io;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -103,7 +103,115 @@
             });
     }
 
+    std::string make_order(std::string_view target)
+    {
+        return post(target, "drums",
+                    "Idempotency-Key: " +
+                        order_key(now().wall, ++this->last_order_number) +
+                        "\r\n");
+    }
+
+    /// Orders are accepted from a short time after the start.
+    void wait_for_orders()
+    {
+        ASSERT_TRUE(eventually(
+            [this]
+            {
+                return caller(this->port())
+                           .request(this->make_order("/orders/first"))
+                           .status() == 200U;
+            }));
+    }
+
+    /// A request on its way. The target tells its runs at the server apart.
+    std::unique_ptr<caller> start_request(std::string_view text)
+    {
+        auto connection = std::make_unique<caller>(this->port());
+        connection->send(text);
+        return connection;
+    }
+
+    bool has_reached_the_server(std::string_view target)
+    {
+        for (const standin::execution& run : this->backend->journal())
+        {
+            if (run.target == target)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// Sends more requests than the server takes at once. Those that have
+    /// reached it may have run, the others must be refused as not run.
+    void expect_that_waiting_requests_are_refused()
+    {
+        std::vector<std::unique_ptr<caller>> callers;
+        for (int count = 0; count < 5; ++count)
+        {
+            callers.push_back(
+                this->start_request(get("/reports/" + std::to_string(count))));
+        }
+        ASSERT_TRUE(eventually(
+            [this]
+            {
+                return !this->backend->journal().empty() &&
+                       this->counters().requests == 5;
+            }));
+        this->drain(std::chrono::seconds(1));
+        std::size_t waited = 0;
+        for (std::size_t count = 0; count < callers.size(); ++count)
+        {
+            const answer received = callers[count]->receive();
+            if (this->has_reached_the_server("/reports/" +
+                                             std::to_string(count)))
+            {
+                expect_refusal(received, 504, core::result_code::server_timeout,
+                               "unknown");
+                continue;
+            }
+            ++waited;
+            expect_refusal(received, 503, core::result_code::shutting_down,
+                           "not-run");
+            EXPECT_EQ(received["Connection"], "close");
+            EXPECT_FALSE(received["Retry-After"].empty());
+        }
+        EXPECT_GE(waited, 3U);
+        EXPECT_TRUE(eventually(
+            [this]
+            {
+                return this->drained.load();
+            }));
+    }
+
     std::atomic<bool> drained{false};
+    unsigned last_order_number = 0;
+};
+
+/// Its server has one slot, so that further requests wait.
+class entry_that_drains_with_one_slot : public entry_that_drains
+{
+protected:
+    void SetUp() override
+    {
+        this->options.slots = 1;
+        this->start();
+        this->set_mode(&standin::server_faults::hang);
+    }
+};
+
+/// Its server takes two connections, so that further requests wait for one.
+class entry_that_drains_with_few_connections : public entry_that_drains
+{
+protected:
+    void SetUp() override
+    {
+        this->options.slots = 8;
+        this->connections = 2;
+        this->start();
+        this->set_mode(&standin::server_faults::hang);
+    }
 };
 
 constexpr std::uint64_t large_body_bytes = 50'000'000;
@@ -562,6 +670,110 @@
     EXPECT_EQ(this->backend->journal().size(), 2U);
 }
 
+// Guards against requests that are cut without an answer because their server
+// does not answer before the limit, and against an answer that says that they
+// have not run. An upload that the server has in part may have run as well.
+TEST_F(entry_that_drains, tells_the_outcome_is_unknown_before_the_limit)
+{
+    this->wait_for_orders();
+    this->set_mode(&standin::server_faults::hang);
+    const auto reading = this->start_request(get("/reports/1"));
+    const auto ordering = this->start_request(this->make_order("/orders/1"));
+    const std::string upload = post("/reports/2", std::string(500000, 'b'));
+    const auto uploading = this->start_request(upload.substr(0, 250000));
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            // The server records an upload when it has all of it.
+            return this->has_reached_the_server("/reports/1") &&
+                   this->has_reached_the_server("/orders/1") &&
+                   this->counters().servers.bytes_to_servers > 200000;
+        }));
+    const std::uint64_t before = this->counters().refused_outcome_unknown;
+    const auto start = std::chrono::steady_clock::now();
+    this->drain(std::chrono::seconds(1));
+    for (const auto* connection : {&reading, &ordering, &uploading})
+    {
+        const answer received = (*connection)->receive();
+        expect_refusal(received, 504, core::result_code::server_timeout,
+                       "unknown");
+        EXPECT_EQ(received["Connection"], "close");
+    }
+    const auto elapsed = std::chrono::steady_clock::now() - start;
+    EXPECT_GE(elapsed, milliseconds(800));
+    EXPECT_LT(elapsed, this->document->routes.at(0).deadline / 2);
+    EXPECT_EQ(this->counters().refused_outcome_unknown, before + 3);
+}
+
+// Guards against an answer of the server that follows the refusal on the same
+// connection, and against the loss of the order's first answer: its server
+// answers in the time that is left for the last answers.
+TEST_F(entry_that_drains, writes_one_answer_when_the_server_answers_at_the_end)
+{
+    this->wait_for_orders();
+    this->set_mode(&standin::server_faults::hang);
+    const auto ordering = this->start_request(this->make_order("/orders/1"));
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->has_reached_the_server("/orders/1");
+        }));
+    this->drain(std::chrono::seconds(1));
+    expect_refusal(ordering->receive(), 504, core::result_code::server_timeout,
+                   "unknown");
+    this->backend->set_modes({});
+    EXPECT_TRUE(ordering->is_closed());
+    EXPECT_TRUE(eventually(
+        [this]
+        {
+            return this->drained.load();
+        }));
+    EXPECT_FALSE(this->backend->journal().back().cancelled);
+}
+
+// Guards against requests that wait for a server when the drain ends and are
+// cut without an answer, and against one that reaches a server so late.
+TEST_F(entry_that_drains_with_one_slot, refuses_the_requests_that_wait)
+{
+    this->expect_that_waiting_requests_are_refused();
+}
+
+// Guards against requests that wait for a connection to their server, which the
+// decision logic counts as running, and against a server that is held liable
+// for requests that it never got.
+TEST_F(entry_that_drains_with_few_connections, refuses_the_requests_that_wait)
+{
+    this->expect_that_waiting_requests_are_refused();
+    const core::node_view view = this->on_thread(
+        [this]
+        {
+            return this->node->view(core::boot_clock::now());
+        });
+    EXPECT_EQ(view.servers.at(0).error_fraction, 0.0);
+}
+
+// Guards against callers that get no answer, or one that blames them, because
+// their request is still incomplete when the drain ends.
+TEST_F(entry_that_drains, refuses_requests_that_are_incomplete_at_the_end)
+{
+    const std::string request = post("/reports/1", "drums");
+    const auto head = this->start_request(request.substr(0, 30));
+    const auto body =
+        this->start_request(request.substr(0, request.size() - 2));
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->counters().requests == 1;
+        }));
+    this->drain(std::chrono::seconds(1));
+    for (const auto* connection : {&head, &body})
+    {
+        expect_refusal((*connection)->receive(), 503,
+                       core::result_code::shutting_down, "not-run");
+    }
+    EXPECT_TRUE(this->backend->journal().empty());
+}
+
 // Guards against the reset of connections that the system accepted before the
 // drain, and of requests that arrive as it starts.
 TEST_F(entry_that_drains, serves_connections_opened_just_before_the_drain)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -231,10 +231,10 @@
             "admin":{{"address":"127.0.0.1","port":{}}},
             "platform":{{"address":"127.0.0.1","port":{}}},
             "seeds":[{}],"fleet_secret_file":"{}",
-            "log_level":"info"}})",
+            "log_level":"info","shutdown_limit_ms":{}}})",
             name, instance_ports.callers, instance_ports.peers,
             instance_ports.admin, this->platform->port(), seeds,
-            (this->folder / "secret").string());
+            (this->folder / "secret").string(), this->shutdown_limit.count());
         this->instances[name] = std::make_unique<process>(
             PROGRAM_DIR "/medlard", std::vector<std::string>{settings_path},
             (this->folder / (name + ".log")).string());
@@ -327,6 +327,7 @@
     }
 
     std::filesystem::path folder;
+    std::chrono::milliseconds shutdown_limit{30'000};
     asio::io_context context;
     std::unique_ptr<standin::platform> platform;
     core::document document;
@@ -534,6 +535,47 @@
         }));
 }
 
+// Guards against a caller that gets no answer because its server is still at
+// work when the shutdown limit ends the instance.
+TEST_F(a_running_fleet, a_shutdown_answers_what_still_runs_at_its_limit)
+{
+    this->shutdown_limit = 2s;
+    this->instances.erase("entry-1");
+    this->start("entry-1");
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->serves("entry-1");
+        }));
+    std::future<response> running = std::async(
+        std::launch::async,
+        [this]
+        {
+            return send_request(this->caller_port("entry-1"),
+                                make_get("/reports/1?delay_ms=8000"));
+        });
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return std::any_of(this->servers.begin(), this->servers.end(),
+                               [](const auto& named)
+                               {
+                                   const auto journal = named.second->journal();
+                                   return std::any_of(
+                                       journal.begin(), journal.end(),
+                                       [](const standin::execution& run)
+                                       {
+                                           return run.target.ends_with("=8000");
+                                       });
+                               });
+        }));
+    this->instances.at("entry-1")->send(SIGTERM);
+    const response received = running.get();
+    EXPECT_EQ(received.status, 504U);
+    EXPECT_EQ(received.outcome, "unknown");
+    EXPECT_EQ(this->instances.at("entry-1")->wait(), 0);
+}
+
 // Guards against a server with a gray failure that keeps receiving requests
 // because it passes its health checks.
 TEST_F(a_running_fleet, ejects_a_failing_server_and_readmits_it)
