--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -5,6 +5,47 @@
 using namespace medlarbarrow;
 using namespace medlarbarrow::tests;
 
+namespace
+{
+
+/// A call on a thread of its own, which the destructor waits for.
+class background_call
+{
+public:
+    background_call(kept_connection& connection, const call_plan& plan)
+        : thread(
+              [this, &connection, plan]
+              {
+                  this->record = connection.call(plan);
+              })
+    {
+    }
+
+    background_call(const background_call&) = delete;
+    background_call& operator=(const background_call&) = delete;
+
+    ~background_call()
+    {
+        this->finish();
+    }
+
+    /// Waits for the end of the call.
+    const call_record& finish()
+    {
+        if (this->thread.joinable())
+        {
+            this->thread.join();
+        }
+        return this->record;
+    }
+
+private:
+    call_record record;
+    std::thread thread;
+};
+
+} // namespace
+
 /// The platform stops the instance.
 class an_instance_that_stops : public an_instance
 {
@@ -20,16 +61,11 @@
         std::this_thread::sleep_until(this->stopped_at + after_stop);
     }
 
-    /// Calls on a thread of its own.
-    std::thread start_call(kept_connection& connection,
-                           const call_plan& plan,
-                           call_record& record) const
+    /// Stops the instance when its calls have had this time to reach a server.
+    void stop_after(milliseconds time)
     {
-        return std::thread(
-            [&connection, &record, plan]
-            {
-                record = connection.call(plan);
-            });
+        std::this_thread::sleep_for(time);
+        this->stop();
     }
 
     /// The instance must end before the platform kills it.
@@ -56,11 +92,8 @@
 {
     kept_connection idle = this->connection_to(0);
     ASSERT_TRUE(idle.connect());
-    call_record running;
-    std::thread call =
-        this->start_call(idle, {"/long/x?delay_ms=3500"}, running);
-    std::this_thread::sleep_for(200ms);
-    this->stop();
+    background_call running(idle, {"/long/x?delay_ms=3500"});
+    this->stop_after(200ms);
     std::this_thread::sleep_for(50ms);
     EXPECT_EQ(this->readiness(0), 503U);
     for (const milliseconds time : {500ms, 1200ms, 2200ms})
@@ -70,8 +103,7 @@
         ASSERT_TRUE(fresh.connect()) << time.count();
         this->expect_served(fresh.call({"/order/x?delay_ms=5"}));
     }
-    call.join();
-    this->expect_served(running);
+    this->expect_served(running.finish());
     EXPECT_EQ(this->instances[0]->wait(), 0);
 }
 
@@ -143,18 +175,14 @@
 {
     kept_connection first = this->connection_to(0);
     ASSERT_TRUE(first.connect());
-    call_record running;
-    std::thread call =
-        this->start_call(first, {"/long/x?delay_ms=4000"}, running);
-    std::this_thread::sleep_for(100ms);
-    this->stop();
+    background_call running(first, {"/long/x?delay_ms=4000"});
+    this->stop_after(100ms);
     this->wait_until(2200ms);
     kept_connection late = this->connection_to(0);
     ASSERT_TRUE(late.connect());
     this->wait_until(3050ms);
     this->expect_refused(late.call({"/next/x?delay_ms=3000"}));
-    call.join();
-    this->expect_served(running);
+    this->expect_served(running.finish());
     this->wait_for_end();
 }
 
@@ -172,14 +200,10 @@
     call_plan body{"/next/x", "drums and nets"};
     body.pause_in_body = 5900ms;
     this->stop();
-    call_record head_record;
-    call_record body_record;
-    std::thread head_call = this->start_call(slow_head, head, head_record);
-    std::thread body_call = this->start_call(slow_body, body, body_record);
-    head_call.join();
-    body_call.join();
-    this->expect_refused(head_record);
-    this->expect_refused(body_record);
+    background_call head_call(slow_head, head);
+    background_call body_call(slow_body, body);
+    this->expect_refused(head_call.finish());
+    this->expect_refused(body_call.finish());
     this->wait_for_end();
 }
 
@@ -190,20 +214,13 @@
     kept_connection early = this->connection_to(0);
     kept_connection later = this->connection_to(0);
     ASSERT_TRUE(early.connect());
-    call_record early_record;
-    call_record later_record;
-    std::thread early_call =
-        this->start_call(early, {"/long/x?delay_ms=5600"}, early_record);
-    std::this_thread::sleep_for(300ms);
-    this->stop();
+    background_call early_call(early, {"/long/x?delay_ms=5600"});
+    this->stop_after(300ms);
     this->wait_until(800ms);
     ASSERT_TRUE(later.connect());
-    std::thread later_call =
-        this->start_call(later, {"/order/x?delay_ms=4300"}, later_record);
-    early_call.join();
-    later_call.join();
-    this->expect_served(early_record);
-    this->expect_served(later_record);
+    background_call later_call(later, {"/order/x?delay_ms=4300"});
+    this->expect_served(early_call.finish());
+    this->expect_served(later_call.finish());
     this->wait_for_end();
 }
 
@@ -214,12 +231,9 @@
 {
     kept_connection connection = this->connection_to(0);
     ASSERT_TRUE(connection.connect());
-    call_record record;
-    std::thread call =
-        this->start_call(connection, {"/long/x?delay_ms=20000"}, record);
-    std::this_thread::sleep_for(200ms);
-    this->stop();
-    call.join();
+    background_call call(connection, {"/long/x?delay_ms=20000"});
+    this->stop_after(200ms);
+    const call_record& record = call.finish();
     const std::string text = this->describe(record, true);
     EXPECT_GE(record.ended, this->stopped_at + 5400ms) << text;
     EXPECT_TRUE(record.status == 502 || record.status == 504) << text;
@@ -236,15 +250,11 @@
 {
     kept_connection connection = this->connection_to(0);
     ASSERT_TRUE(connection.connect());
-    call_record record;
-    std::thread call =
-        this->start_call(connection, {"/long/x?delay_ms=3000"}, record);
-    std::this_thread::sleep_for(200ms);
-    this->stop();
+    background_call running(connection, {"/long/x?delay_ms=3000"});
+    this->stop_after(200ms);
     this->wait_until(1000ms);
     this->instances[0]->send(SIGTERM);
-    call.join();
-    this->expect_served(record);
+    this->expect_served(running.finish());
     this->wait_for_end();
 }
 
@@ -267,23 +277,23 @@
        refuses_the_requests_that_wait)
 {
     std::vector<std::unique_ptr<kept_connection>> connections;
-    std::vector<call_record> records(6);
-    std::vector<std::thread> calls;
-    for (std::size_t index = 0; index < records.size(); ++index)
+    std::vector<std::unique_ptr<background_call>> calls;
+    for (std::size_t index = 0; index < 6; ++index)
     {
         connections.push_back(
             std::make_unique<kept_connection>(0, this->endpoint_of(0)));
         ASSERT_TRUE(connections.back()->connect());
         const char* target =
             index < 2 ? "/long/x?delay_ms=20000" : "/wait/x?delay_ms=100";
-        calls.push_back(
-            this->start_call(*connections.back(), {target}, records[index]));
+        calls.push_back(std::make_unique<background_call>(*connections.back(),
+                                                          call_plan{target}));
         std::this_thread::sleep_for(50ms);
     }
     this->stop();
-    for (std::thread& call : calls)
+    std::vector<call_record> records;
+    for (const auto& call : calls)
     {
-        call.join();
+        records.push_back(call->finish());
     }
     for (std::size_t index = 2; index < records.size(); ++index)
     {
