--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -12,7 +12,8 @@
 constexpr duration lapse_grace_period = std::chrono::milliseconds(2300);
 
 /// A server that leaves ends within minutes of its removal. Until then its
-/// entry may come back, for example after an outage of the source.
+/// entry may come back, for example after an outage of the source. A mark that
+/// names a start time holds as long for runs of an earlier or no start time.
 constexpr duration gone_mark_lifetime = std::chrono::hours(1);
 constexpr duration mark_check_period = std::chrono::minutes(1);
 /// Marks kept of servers without an entry, which bounds the memory they take
@@ -29,18 +30,43 @@
     {
         return;
     }
-    entry added{announced, std::nullopt};
+    entry added{announced, std::nullopt, announced.leaving};
     const auto mark = this->marks.find(announced.server.name);
     if (mark != this->marks.end())
     {
         mark->second.gone_since.reset();
-        added.announced.leaving |= announced.started <= mark->second.started;
+        note_announcement(mark->second, announced);
+        added.announced.leaving |= holds_for(mark->second, announced.started);
     }
     this->entries[announced.server.name] = std::move(added);
     ++this->change_count;
 }
 
-bool server_registry::mark_leaving(const leaving_run& run, time_point now)
+bool server_registry::holds_for(const leaving_mark& mark, std::uint64_t started)
+{
+    const bool names_run = started != 0 && started == mark.started;
+    return names_run || (started <= mark.started && !mark.others_ended);
+}
+
+// Ends the mark for runs without a start time if the announcement is that of a
+// later run. That the announcement has vanished and come back proves nothing,
+// because it may only have lapsed; but a run never counts its announcements
+// from the start again.
+void server_registry::note_announcement(leaving_mark& mark,
+                                        const announced_server& announced)
+{
+    if (announced.started != 0 || mark.others_ended)
+    {
+        return;
+    }
+    mark.others_ended =
+        !announced.leaving && announced.sequence < mark.sequence;
+    mark.sequence = announced.sequence;
+}
+
+bool server_registry::mark_leaving(const leaving_run& run,
+                                   time_point now,
+                                   leaving_word from)
 {
     const auto registered = this->entries.find(run.server);
     const bool has_entry = registered != this->entries.end();
@@ -49,12 +75,21 @@
     {
         return false;
     }
+    if (run.started == 0 && from == leaving_word::passed_on &&
+        this->has_ended_lately(run.server, now))
+    {
+        return false;
+    }
     leaving_mark& mark = this->marks[run.server];
-    mark.started = run.started;
+    mark.started = std::max(mark.started, run.started);
+    mark.marked_at = now;
+    mark.others_ended = false;
+    mark.others_ended_at = time_point::max();
     bool known = false;
     if (has_entry)
     {
         announced_server& announced = registered->second.announced;
+        mark.sequence = announced.started == 0 ? announced.sequence : 0;
         known = announced.leaving && announced.started == run.started;
         this->change_count += announced.leaving ? 0 : 1;
         announced.leaving = true;
@@ -71,7 +106,16 @@
 bool server_registry::is_marked_leaving(const leaving_run& run) const
 {
     const auto mark = this->marks.find(run.server);
-    return mark != this->marks.end() && run.started <= mark->second.started;
+    return mark != this->marks.end() && holds_for(mark->second, run.started);
+}
+
+// Whether the mark of a run without a start time has ended a short time ago.
+bool server_registry::has_ended_lately(const std::string& name,
+                                       time_point now) const
+{
+    const auto mark = this->marks.find(name);
+    return mark != this->marks.end() && mark->second.others_ended &&
+           now - mark->second.others_ended_at < ended_mark_lifetime;
 }
 
 // Removes the server's entry and starts the lifetime of its mark.
@@ -116,6 +160,42 @@
     }
 }
 
+// Ends the marks for runs that they don't name and that must have ended by now.
+// If such a run is still announced, it is the present one: its start time is
+// unknown or earlier, for example because the clock was ahead before. Drops the
+// marks that serve no other purpose.
+void server_registry::end_marks_of_other_runs(time_point now)
+{
+    for (auto& [name, mark] : this->marks)
+    {
+        const duration lifetime =
+            mark.started == 0 ? unknown_run_lifetime : gone_mark_lifetime;
+        if (!mark.others_ended && now - mark.marked_at >= lifetime)
+        {
+            mark.others_ended = true;
+            const auto registered = this->entries.find(name);
+            if (registered != this->entries.end() &&
+                !holds_for(mark, registered->second.announced.started))
+            {
+                entry& current = registered->second;
+                current.announced.leaving = current.says_leaving;
+                ++this->change_count;
+            }
+        }
+        if (mark.others_ended)
+        {
+            mark.others_ended_at = std::min(mark.others_ended_at, now);
+        }
+    }
+    std::erase_if(this->marks,
+                  [now](const auto& named_mark)
+                  {
+                      const leaving_mark& mark = named_mark.second;
+                      return mark.started == 0 && mark.others_ended &&
+                             now - mark.others_ended_at >= ended_mark_lifetime;
+                  });
+}
+
 void server_registry::remove(const std::string& name,
                              removal_kind kind,
                              time_point now)
@@ -151,6 +231,7 @@
     {
         this->erase_entry(name, now);
     }
+    this->end_marks_of_other_runs(now);
     if (now - this->marks_checked_at >= mark_check_period)
     {
         this->drop_old_marks(now);
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -1,13 +1,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ssl/context.hpp>
-#include <medlarbarrow/core/hash.hpp>
-#include <medlarbarrow/net/caller.hpp>
-#include <medlarbarrow/net/entry.hpp>
+#include <medlarbarrow/net/entry_state.hpp>
 #include <medlarbarrow/net/log.hpp>
-#include <nlohmann/json.hpp>
-#include <set>
-#include <unordered_map>
 
 namespace medlarbarrow::net
 {
@@ -21,11 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Number of leading body bytes in the digest that identifies requests which
-/// crash servers. They are read before the first attempt, so that the digest
-/// does not depend on how the body is split into packets.
-constexpr std::size_t digested_body_bytes = 4096;
-
 /// Pause after accept() failed for lack of file descriptors, and between two
 /// searches for an idle connection that can be closed to admit a new one.
 constexpr milliseconds accept_pause{100};
@@ -33,54 +23,6 @@
 /// Interval between two closings of aged idle connections to servers.
 constexpr seconds sweep_period{1};
 
-core::instant now()
-{
-    return {core::boot_clock::now(), std::chrono::time_point_cast<milliseconds>(
-                                         std::chrono::system_clock::now())};
-}
-
-std::string_view reason_phrase(unsigned status)
-{
-    return http::obsolete_reason(http::int_to_status(status));
-}
-
-/// JSON body of a refusal.
-std::string refusal_body(const core::step_refuse& refusal)
-{
-    const nlohmann::json body{
-        {"code", static_cast<int>(refusal.code)},
-        {"name", core::name_of(refusal.code)},
-        {"outcome", refusal.outcome_unknown ? "unknown" : "not-run"},
-        {"message", core::make_error_code(refusal.code).message()}};
-    return body.dump();
-}
-
-answer_head refusal_head(const core::step_refuse& refusal,
-                         unsigned status,
-                         std::size_t body_bytes)
-{
-    answer_head head;
-    head.status = status;
-    head.reason = reason_phrase(status);
-    head.lines = fmt::format("Medlar-Outcome: {}\r\nMedlar-Code: {}\r\n"
-                             "Content-Type: application/json\r\n",
-                             refusal.outcome_unknown ? "unknown" : "not-run",
-                             static_cast<int>(refusal.code));
-    if (refusal.retry_after > milliseconds(0))
-    {
-        // Retry-After is in whole seconds, so the wait is rounded up.
-        head.lines += fmt::format(
-            "Retry-After: {}\r\n",
-            std::chrono::ceil<seconds>(refusal.retry_after).count());
-    }
-    if (status == 401)
-    {
-        head.lines += "WWW-Authenticate: Bearer\r\n";
-    }
-    head.length = body_bytes;
-    return head;
-}
-
 /// TLS context with the given certificate and key; null when TLS is not
 /// configured. Error: settings_invalid.
 core::result<std::shared_ptr<asio::ssl::context>>
@@ -167,112 +109,6 @@
     }
 }
 
-/// State that all sessions of an entry share.
-struct entry::state : std::enable_shared_from_this<entry::state>
-{
-    class session;
-
-    state(asio::io_context& context,
-          const config::settings& entry_settings,
-          core::node& decisions,
-          send_function send_to_peers)
-        : io(context), settings(entry_settings), node(decisions),
-          send(std::move(send_to_peers)), acceptor(context),
-          sweep_timer(context), capacity_changed(context.get_executor()),
-          servers(context.get_executor(), entry_settings.bounds)
-    {
-    }
-
-    void flush(core::outbox& out);
-    asio::awaitable<void> accept_callers();
-    asio::awaitable<void> wait_for_capacity();
-    void open_session(tcp::socket&& socket);
-    void evict_longest_idle();
-    void close_acceptor();
-    void remove(session& ended_session);
-    void sweep();
-    void check_drained();
-    std::uint64_t body_limit_of(const std::string& route) const;
-
-    asio::io_context& io;
-    config::settings settings;
-    core::node& node;
-    send_function send;
-    std::function<void(const request_summary&)> observe_end;
-    std::shared_ptr<asio::ssl::context> tls;
-    tcp::acceptor acceptor;
-    tcp::endpoint local;
-    asio::steady_timer sweep_timer;
-    signal capacity_changed; ///< a connection ended or drain() was called
-    upstream servers;
-    entry_counters counts;
-    std::unordered_map<std::string, std::uint64_t> body_limits;
-    std::set<session*> sessions;
-    std::set<session*> waiting_sessions; ///< in step_wait
-    bool draining = false;
-    std::optional<core::shutdown_plan> plan; ///< set by drain()
-    std::function<void()> drained;
-};
-
-/// Serves the requests of one caller's connection, one after the other.
-class entry::state::session
-    : public std::enable_shared_from_this<entry::state::session>
-{
-public:
-    session(std::shared_ptr<state> entry_state, tcp::socket&& socket)
-        : shared(std::move(entry_state)),
-          caller(std::make_shared<caller_connection>(
-              caller_stream(std::move(socket), this->shared->tls.get()),
-              this->shared->settings.bounds))
-    {
-    }
-
-    static asio::awaitable<void> run(std::shared_ptr<session> self);
-
-    caller_connection& connection()
-    {
-        return *this->caller;
-    }
-
-private:
-    enum class progress
-    {
-        next_step,
-        ended
-    };
-
-    asio::awaitable<void> serve_requests();
-    asio::awaitable<void> refuse_header(head_status status);
-    asio::awaitable<void> serve_request();
-    asio::awaitable<bool> register_request();
-    asio::awaitable<void> run_steps();
-    asio::awaitable<progress> execute(const core::step& step);
-    asio::awaitable<progress> wait(core::time_point until);
-    asio::awaitable<progress> attempt(const core::step_send& step);
-    asio::awaitable<void> replay(const core::stored_answer& answer);
-    asio::awaitable<void> refuse(const core::step_refuse& refusal);
-    asio::awaitable<void> refuse_body();
-    asio::awaitable<void> refuse_for_shutdown();
-    void finish_attempt(const core::attempt_result& result);
-    void abandon();
-    void write_log();
-
-    std::shared_ptr<state> shared;
-    std::shared_ptr<caller_connection> caller;
-
-    // State of the request in progress.
-    checked_request request;
-    trace::context span;
-    trace::hop hop;
-    std::string account;
-    std::string route;
-    std::string server;
-    core::time_point start_time{};
-    request_summary summary;
-    std::optional<core::request_id> id; ///< set while the node tracks it
-    std::optional<core::attempt_result> previous_result;
-};
-
 // Hands the node's messages to the peers' transport.
 void entry::state::flush(core::outbox& out)
 {
@@ -397,6 +233,8 @@
     }
     this->servers.close_idle();
     this->sweep_timer.cancel();
+    this->waiting_timer.cancel();
+    this->running_timer.cancel();
     const auto callback = std::exchange(this->drained, nullptr);
     callback();
 }
@@ -417,359 +255,41 @@
         });
 }
 
-asio::awaitable<void> entry::state::session::run(std::shared_ptr<session> self)
-{
-    try
-    {
-        co_await self->serve_requests();
-    }
-    catch (const std::exception& failure)
-    {
-        log::write(log::level::error, "session_failed",
-                   {log::kv("reason", failure.what())});
-        self->abandon();
-        self->caller->reset();
-    }
-    self->shared->remove(*self);
-}
-
-asio::awaitable<void> entry::state::session::serve_requests()
+// Calls the action at the given time, unless the timer is cancelled before.
+void entry::state::run_at(asio::steady_timer& timer,
+                          core::time_point time,
+                          void (state::*action)())
 {
-    if (!co_await this->caller->handshake())
-    {
-        this->caller->reset();
-        co_return;
-    }
-    while (!this->caller->is_closing() && !this->caller->is_gone())
-    {
-        const head_status status = co_await this->caller->read_head();
-        if (status != head_status::complete)
-        {
-            co_await this->refuse_header(status);
-            break;
-        }
-        ++this->shared->counts.requests;
-        this->start_time = core::boot_clock::now();
-        this->summary = {};
-        co_await this->serve_request();
-        this->summary.elapsed = core::boot_clock::now() - this->start_time;
-        this->shared->counts.latency.add(this->summary.elapsed);
-        this->write_log();
-        this->summary.attempts = this->hop.attempts;
-        if (this->shared->observe_end)
-        {
-            this->shared->observe_end(this->summary);
-        }
-        if (!this->caller->is_answer_complete())
+    timer.expires_at(to_steady_time(time));
+    timer.async_wait(
+        [weak = this->weak_from_this(), action](error_code failure)
         {
-            this->shared->counts.answers_cut_off +=
-                this->caller->has_answer_started() ? 1 : 0;
-            this->caller->reset();
-        }
-    }
-    co_await this->caller->close();
-}
-
-asio::awaitable<void> entry::state::session::refuse_header(head_status status)
-{
-    if (status == head_status::closed)
-    {
-        co_return;
-    }
-    ++this->shared->counts.requests;
-    this->request = {};
-    this->caller->close_after_answer();
-    core::step_refuse refusal;
-    refusal.code = result_code::bad_request;
-    if (status == head_status::too_large)
-    {
-        refusal.code = result_code::header_too_large;
-    }
-    if (status == head_status::timed_out)
-    {
-        refusal.code = result_code::caller_gone;
-    }
-    co_await this->refuse(refusal);
-}
-
-// Checks and serves the request whose header read_head() has parsed.
-asio::awaitable<void> entry::state::session::serve_request()
-{
-    this->hop = {};
-    this->previous_result.reset();
-    this->account.clear();
-    this->route.clear();
-    this->server.clear();
-    core::result<checked_request> checked =
-        check_request(this->caller->header());
-    if (!checked)
-    {
-        this->request = {};
-        this->span = trace::make_span(std::nullopt);
-        this->caller->close_after_answer();
-        co_await this->refuse({result_code::bad_request, false, {}});
-        co_return;
-    }
-    this->request = std::move(*checked);
-    this->span = trace::make_span(this->request.parent);
-    if (this->request.close)
-    {
-        this->caller->close_after_answer();
-    }
-    if (co_await this->register_request())
-    {
-        co_await this->run_steps();
-    }
-}
-
-// Reads the first part of the body and registers the request with the node.
-// False when the request was refused.
-asio::awaitable<bool> entry::state::session::register_request()
-{
-    if (this->request.expects_continue && this->request.has_body())
-    {
-        co_await this->caller->write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    if (!co_await this->caller->prefetch(digested_body_bytes))
-    {
-        co_await this->refuse_body();
-        co_return false;
-    }
-    if (this->shared->plan &&
-        !this->shared->plan->takes(core::boot_clock::now()))
-    {
-        co_await this->refuse_for_shutdown();
-        co_return false;
-    }
-    const std::string_view body =
-        this->caller->buffered_body().substr(0, digested_body_bytes);
-    this->request.facts.content_digest =
-        core::hash_text(body, core::hash_text(this->request.method + " " +
-                                              this->request.target));
-    this->id = this->shared->node.begin_request(this->request.facts, now());
-    this->account = this->shared->node.account_of(*this->id);
-    this->route = this->shared->node.route_of(*this->id);
-    const std::uint64_t limit = this->shared->body_limit_of(this->route);
-    this->caller->limit_body(limit);
-    if (this->request.content_length.value_or(0) > limit ||
-        this->caller->is_body_too_large())
-    {
-        this->abandon();
-        co_await this->refuse({result_code::body_too_large, false, {}});
-        co_return false;
-    }
-    co_return true;
-}
-
-// Executes the steps that the node decides until the request has ended.
-asio::awaitable<void> entry::state::session::run_steps()
-{
-    progress state = progress::next_step;
-    while (state == progress::next_step)
-    {
-        core::outbox out;
-        const core::step step =
-            this->shared->node.next_step(*this->id, now(), out);
-        this->shared->flush(out);
-        state = co_await this->execute(step);
-    }
-    this->id.reset();
-}
-
-asio::awaitable<entry::state::session::progress>
-entry::state::session::execute(const core::step& step)
-{
-    if (const auto* waiting = std::get_if<core::step_wait>(&step))
-    {
-        const progress state = co_await this->wait(waiting->until);
-        co_return state;
-    }
-    if (const auto* sending = std::get_if<core::step_send>(&step))
-    {
-        const progress state = co_await this->attempt(*sending);
-        co_return state;
-    }
-    if (const auto* refusal = std::get_if<core::step_refuse>(&step))
-    {
-        co_await this->refuse(*refusal);
-    }
-    if (const auto* stored = std::get_if<core::step_replay>(&step))
-    {
-        co_await this->replay(stored->answer);
-    }
-    co_return progress::ended;
-}
-
-// Waits until the node may have a next step. The request ends if the caller
-// disconnects meanwhile.
-asio::awaitable<entry::state::session::progress>
-entry::state::session::wait(core::time_point until)
-{
-    // Wait at least 1 ms: a deadline in the past would make the loop busy.
-    const core::time_point earliest = core::boot_clock::now() + milliseconds(1);
-    this->shared->waiting_sessions.insert(this);
-    co_await this->caller->wait_until(std::max(until, earliest));
-    this->shared->waiting_sessions.erase(this);
-    if (!this->caller->is_gone())
-    {
-        co_return progress::next_step;
-    }
-    ++this->shared->counts.callers_gone;
-    this->abandon();
-    co_return progress::ended;
-}
-
-void entry::state::session::finish_attempt(const core::attempt_result& result)
-{
-    core::outbox out;
-    this->shared->node.attempt_finished(*this->id, result, now(), out);
-    this->shared->flush(out);
-}
-
-asio::awaitable<entry::state::session::progress>
-entry::state::session::attempt(const core::step_send& step)
-{
-    using core::attempt_end;
-    if (!this->caller->is_replayable() && this->previous_result)
-    {
-        // The buffer no longer holds the complete body, so no further attempt
-        // is possible. The node is told that the request has ended.
-        core::attempt_result abandoned;
-        abandoned.end = attempt_end::caller_gone;
-        this->finish_attempt(abandoned);
-        const bool not_run =
-            this->previous_result->end == attempt_end::refused_not_run ||
-            this->previous_result->end == attempt_end::not_sent;
-        const result_code code = not_run ? result_code::server_shed
-                                         : result_code::server_closed_early;
-        co_await this->refuse({code, !not_run, {}});
-        co_return progress::ended;
-    }
-    ++this->hop.attempts;
-    this->server = step.server.name;
-    const core::time_point sent = core::boot_clock::now();
-    const core::attempt_result result = co_await this->shared->servers.attempt(
-        step, this->request, this->span, *this->caller);
-    this->summary.attempt_time += core::boot_clock::now() - sent;
-    this->previous_result = result;
-    this->finish_attempt(result);
-    if (this->caller->is_answer_complete())
-    {
-        ++this->shared->counts.answered;
-    }
-    if (result.end == attempt_end::caller_gone)
-    {
-        if (this->caller->is_gone())
-        {
-            ++this->shared->counts.callers_gone;
-        }
-        else
-        {
-            co_await this->refuse_body();
-        }
-    }
-    co_return progress::next_step;
-}
-
-// Refuses a request whose body is malformed, too large or arrived too slowly.
-asio::awaitable<void> entry::state::session::refuse_body()
-{
-    core::step_refuse refusal;
-    refusal.code = result_code::caller_gone;
-    if (this->caller->is_body_too_large())
-    {
-        refusal.code = result_code::body_too_large;
-    }
-    if (this->caller->is_body_malformed())
-    {
-        refusal.code = result_code::bad_request;
-    }
-    refusal.outcome_unknown = this->previous_result.has_value();
-    this->caller->close_after_answer();
-    co_await this->refuse(refusal);
-}
-
-// Refuses a request that could not be served before the end of the shutdown.
-// An order is not said to have "not run", because an earlier request with its
-// key may have: only the owner of its record knows.
-asio::awaitable<void> entry::state::session::refuse_for_shutdown()
-{
-    core::step_refuse refusal;
-    refusal.code = result_code::shutting_down;
-    refusal.outcome_unknown = !this->request.facts.idempotency_key.empty();
-    refusal.retry_after = std::chrono::duration_cast<milliseconds>(
-        this->shared->plan->retry_after());
-    this->caller->close_after_answer();
-    co_await this->refuse(refusal);
-}
-
-asio::awaitable<void>
-entry::state::session::refuse(const core::step_refuse& refusal)
-{
-    // A refusal cannot be written after the start of another answer.
-    if (this->caller->has_answer_started())
-    {
-        co_return;
-    }
-    this->summary.outcome = refusal.code;
-    ++this->shared->counts.refusals[refusal.code];
-    ++(refusal.outcome_unknown ? this->shared->counts.refused_outcome_unknown
-                               : this->shared->counts.refused_not_run);
-    const std::string body = refusal_body(refusal);
-    answer_head head =
-        refusal_head(refusal, status_of(refusal.code), body.size());
-    const bool head_only = this->request.method == "HEAD";
-    head.has_body = !head_only;
-    co_await this->caller->write_head(
-        head, head_only ? std::string_view() : std::string_view(body), true);
+            const auto self = weak.lock();
+            if (!failure && self)
+            {
+                (*self.*action)();
+            }
+        });
 }
 
-// Writes the stored first answer of an order.
-asio::awaitable<void>
-entry::state::session::replay(const core::stored_answer& answer)
+// Refuses the requests that wait for a server or have arrived only in part.
+void entry::state::end_waiting()
 {
-    ++this->shared->counts.replayed;
-    answer_head head;
-    head.status = answer.status;
-    head.reason = reason_phrase(answer.status);
-    if (!answer.content_type.empty())
-    {
-        head.lines = "Content-Type: " + answer.content_type + "\r\n";
-    }
-    head.has_body = answer.status != 204 && answer.status != 304;
-    if (head.has_body)
+    this->sending_ended = true;
+    this->servers.stop_sending();
+    for (session* open_session : this->sessions)
     {
-        head.length = answer.body.size();
+        open_session->connection().expire_reading();
     }
-    // Must be a named variable: g++ 12 destroys a string twice if a
-    // conditional expression copies it inside co_await.
-    const std::string_view body =
-        head.has_body ? std::string_view(answer.body) : std::string_view();
-    co_await this->caller->write_head(head, body, true);
 }
 
-// Tells the node that the request was abandoned, if the node still tracks it.
-void entry::state::session::abandon()
+// Answers the requests that still run at a server.
+void entry::state::end_running()
 {
-    if (!this->id)
+    for (session* open_session : this->sessions)
     {
-        return;
+        open_session->end_running();
     }
-    core::outbox out;
-    this->shared->node.abandon(*this->id, now(), out);
-    this->shared->flush(out);
-    this->id.reset();
-}
-
-// Writes the trace span of the request to the log.
-void entry::state::session::write_log()
-{
-    this->hop.account = this->account;
-    this->hop.route = this->route;
-    this->hop.server = this->server;
-    this->hop.status = this->caller->answer_status();
-    this->hop.took = core::boot_clock::now() - this->start_time;
-    trace::write_span(this->span, this->request.parent, this->hop);
 }
 
 core::result<std::unique_ptr<entry>>
@@ -859,6 +379,10 @@
     this->self->plan = plan;
     this->self->drained = std::move(drained);
     this->self->close_acceptor();
+    this->self->run_at(this->self->waiting_timer, plan.waiting_refused_at(),
+                       &state::end_waiting);
+    this->self->run_at(this->self->running_timer, plan.running_ended_at(),
+                       &state::end_running);
     for (state::session* session : this->self->sessions)
     {
         session->connection().drain();
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -256,7 +257,8 @@
         core::outbox out = this->node.shut_down(now);
         this->send(out);
         this->entry_point->drain(
-            core::shutdown_plan(now.monotonic, this->shutdown_limit, {}),
+            core::shutdown_plan(now.monotonic, this->shutdown_limit,
+                                final_send_time),
             [this]
             {
                 this->post_to_control(all_requests_finished{});
@@ -419,10 +421,7 @@
     // the metrics.
     void count_traffic()
     {
-        const std::uint64_t lines = log::dropped_lines();
-        this->instance_metrics.log_lines_dropped(lines -
-                                                 this->reported_dropped_lines);
-        this->reported_dropped_lines = lines;
+        this->instance_metrics.log_lines_dropped(log::dropped_lines());
         if (!this->links)
         {
             return;
@@ -602,24 +601,25 @@
 
     void handle(control_event& event)
     {
-        std::visit(core::overloaded{[this](core::outgoing& message)
-                                    {
-                                        if (this->links)
-                                        {
-                                            this->links->send(
-                                                std::move(message));
-                                        }
-                                    },
-                                    [this](snapshot& update)
-                                    {
-                                        this->publish(std::move(update));
-                                    },
-                                    [this](all_requests_finished&)
-                                    {
-                                        this->requests_finished = true;
-                                        this->stop_after(final_send_time);
-                                    }},
-                   event);
+        std::visit(
+            core::overloaded{[this](core::outgoing& message)
+                             {
+                                 if (this->links)
+                                 {
+                                     this->links->send(std::move(message));
+                                 }
+                             },
+                             [this](snapshot& update)
+                             {
+                                 this->publish(std::move(update));
+                             },
+                             [this](all_requests_finished&)
+                             {
+                                 this->requests_finished = true;
+                                 this->stop_after(std::min(
+                                     final_send_time, this->time_to_limit()));
+                             }},
+            event);
     }
 
     // Stores a snapshot for operators, and logs and counts its events.
@@ -690,6 +690,13 @@
         this->await_signal();
     }
 
+    // Time until the limit that on_signal() has set.
+    std::chrono::milliseconds time_to_limit() const
+    {
+        return std::chrono::floor<std::chrono::milliseconds>(
+            this->stop_timer.expiry() - std::chrono::steady_clock::now());
+    }
+
     // Ends run() of the control thread after `period`; replaces an earlier
     // limit.
     void stop_after(std::chrono::milliseconds period)
@@ -719,7 +726,6 @@
     std::unique_ptr<admin> admin_listener;
     metrics instance_metrics;
     peer_counters reported_traffic;
-    std::uint64_t reported_dropped_lines = 0;
     snapshot latest_snapshot;
     bool shutting_down = false;
     bool requests_finished = false;
--- a/tests/service_owners_test.cpp
+++ b/tests/service_owners_test.cpp
@@ -1,5 +1,7 @@
+#include "owner_handlers.hpp"
+
 #include <gtest/gtest.h>
-#include <medlarbarrow/net/service_owners.hpp>
+#include <thread>
 
 using namespace medlarbarrow;
 using namespace std::chrono_literals;
@@ -55,6 +57,25 @@
         }
     }
 
+    /// Asks for the first server on behalf of an instance. Whether it was
+    /// granted; the grant is then given up, with the statement.
+    bool grants_s0_to(std::uint64_t from,
+                      const core::server_statement& stated = {})
+    {
+        core::place_request request;
+        request.grant = {from, ++this->number};
+        request.time_to_objective = 1s;
+        request.time_to_deadline = 2s;
+        request.excluded_servers = {"s1", "s2", "s3", "s4", "s5",
+                                    "s6", "s7", "s8", "s9"};
+        const core::place_answer answer = this->owners.request(
+            this->shard, net::decision_scope::fleet, request);
+        core::done_call end{this->shard, request.grant};
+        end.statement = stated;
+        this->owners.on_send_ended(end);
+        return std::holds_alternative<core::placed>(answer);
+    }
+
     void run_for(std::chrono::milliseconds time)
     {
         this->io.restart();
@@ -66,20 +87,12 @@
     core::shard_directory shards{this->registry, 5};
     core::shard_id shard{"dispatch", 0};
     std::uint64_t number = 0;
-    net::service_owners owners{
-        this->io,
-        this->shards,
-        this->registry,
-        core::retry_limits{},
-        5,
-        {[](const core::grant_id&,
-            const core::shard_id&,
-            const core::place_answer&) {},
-         [](const core::shard_id&, const core::crash_event&) {},
-         []
-         {
-             return 1.0;
-         }}};
+    net::service_owners owners{this->io,
+                               this->shards,
+                               this->registry,
+                               core::retry_limits{},
+                               5,
+                               tests::owner_handlers(1.0)};
 };
 
 // Guards against failures at servers without work whose cause no line tells,
@@ -134,3 +147,45 @@
     EXPECT_NE(text.find("# TYPE medlarbarrow_shard_servers_with_work gauge\n"),
               std::string::npos);
 }
+
+// Guards against an owner that grants a server again and again to an instance
+// that does not know it yet, or keeps it from the others.
+TEST_F(an_owner_of_a_service, spares_an_instance_a_server_unknown_to_it)
+{
+    // The instance does not know the start of the run.
+    const core::server_statement unknown{"s0", 0, false, 500ms};
+    EXPECT_TRUE(this->grants_s0_to(instance, unknown));
+    EXPECT_FALSE(this->grants_s0_to(instance));
+    EXPECT_TRUE(this->grants_s0_to(instance + 1, unknown));
+    EXPECT_EQ(this->owners.spreads().front().work.failures, 0U);
+    std::this_thread::sleep_for(550ms);
+    EXPECT_TRUE(this->grants_s0_to(instance));
+}
+
+// Guards against a statement without a start time that keeps a run with one out
+// of use for long: it may concern an earlier run.
+TEST_F(an_owner_of_a_service, cuts_a_hold_that_names_no_run)
+{
+    EXPECT_TRUE(this->grants_s0_to(instance, {"s0", 0, false, 5min}));
+    std::this_thread::sleep_for(550ms);
+    EXPECT_TRUE(this->grants_s0_to(instance));
+}
+
+// Guards against a report that is repeated until it is acknowledged and makes
+// the time for which a server has turned an instance away longer each time.
+TEST_F(an_owner_of_a_service, counts_a_hold_once_for_each_report)
+{
+    ASSERT_TRUE(this->grants_s0_to(instance));
+    core::done_call end{
+        this->shard, {instance, ++this->number}, core::send_outcome::shed};
+    end.statement = {"s0", 1, false, 300ms};
+    this->owners.on_send_ended(end);
+    EXPECT_FALSE(this->grants_s0_to(instance));
+    std::this_thread::sleep_for(200ms);
+    this->owners.on_send_ended(end);
+    std::this_thread::sleep_for(120ms);
+    EXPECT_TRUE(this->grants_s0_to(instance));
+    end.grant.number = ++this->number;
+    this->owners.on_send_ended(end);
+    EXPECT_FALSE(this->grants_s0_to(instance));
+}
