--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -109,6 +109,38 @@
     bool cut = false; ///< the connection ended before the end of the answer
 };
 
+/// A caller with a connection of its own. Its calls block.
+struct test_caller
+{
+    explicit test_caller(const tcp::endpoint& gateway_endpoint)
+    {
+        this->socket.connect(gateway_endpoint);
+    }
+
+    void send(const std::string& text)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(text));
+    }
+
+    /// Reads the next answer and skips interim ones.
+    test_answer read_answer()
+    {
+        http::response<http::string_body> response;
+        boost::system::error_code failure;
+        do
+        {
+            response = {};
+            http::read(this->socket, this->buffer, response, failure);
+        } while (!failure && response.result_int() == 100);
+        return {response.result_int(), response.body(),
+                response[http::field::retry_after], static_cast<bool>(failure)};
+    }
+
+    boost::asio::io_context io;
+    tcp::socket socket{this->io};
+    boost::beast::flat_buffer buffer;
+};
+
 /// Fixture: a fleet of three instances in front of four servers of one service.
 class a_gateway_fleet : public testing::Test
 {
@@ -239,21 +271,24 @@
         }
     }
 
-    test_answer call(std::size_t instance,
-                     const std::string& target,
-                     const std::string& key = test_key,
-                     const std::string& body = "",
-                     const std::string& id = "")
+    tcp::endpoint endpoint_of(std::size_t instance)
     {
-        boost::asio::io_context caller_io;
-        tcp::socket socket(caller_io);
-        const std::string address = this->fleet[instance]->address;
         const std::uint16_t port = this->on_thread(
             [this, instance]
             {
                 return this->fleet[instance]->entry->port();
             });
-        socket.connect({boost::asio::ip::make_address(address), port});
+        return {boost::asio::ip::make_address(this->fleet[instance]->address),
+                port};
+    }
+
+    test_answer call(std::size_t instance,
+                     const std::string& target,
+                     const std::string& key = test_key,
+                     const std::string& body = "",
+                     const std::string& id = "")
+    {
+        test_caller caller(this->endpoint_of(instance));
         http::request<http::string_body> request(
             body.empty() ? http::verb::get : http::verb::post, target, 11);
         request.set(http::field::host, "a.example");
@@ -268,13 +303,8 @@
         }
         request.body() = body;
         request.prepare_payload();
-        http::write(socket, request);
-        boost::beast::flat_buffer buffer;
-        http::response<http::string_body> response;
-        boost::system::error_code failure;
-        http::read(socket, buffer, response, failure);
-        return {response.result_int(), response.body(),
-                response[http::field::retry_after], static_cast<bool>(failure)};
+        http::write(caller.socket, request);
+        return caller.read_answer();
     }
 
     std::size_t executions() const
