upstream: give up a wait for a connection when the server leaves

Cause: an attempt that waits for one of the instance's connections to a server woke only when a connection became free or at the deadline. When the server began to leave, was removed or turned the instance away meanwhile, the request kept its place until one of the running requests had ended.

Change: while it waits, the attempt checks every 20 ms whether the request may still be sent, and else ends as withheld; the request is then placed again. The registry changes by gossip, by reports to the owner and by the source, and has no event for it, so the check is a comparison by the few attempts that wait.

Measured: places_again_what_waits_for_a_connection_to_a_server_that_leaves. Before: Expected: (now() - left) < (1s), actual: 1899727530ns vs 1s After: passed. Only the leaving mark is played; a pause (Retry-After) and a removal go through the same function, may_send().

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -30,6 +30,10 @@
 /// answer arrive in this time and are detected.
 constexpr milliseconds settle_time{2};
 
+/// An attempt that waits for a connection checks this often whether the request
+/// may still be sent: its server may begin to leave without an event here.
+constexpr milliseconds may_send_check_period{20};
+
 /// Longest silence of a server inside an answer that has started. Enforcing
 /// only the deadline would cut off long answers to slow callers.
 constexpr seconds max_silence{10};
@@ -84,6 +88,14 @@
     return std::max(time_left, milliseconds(1));
 }
 
+/// When an attempt that waits for a connection checks next whether the request
+/// may still be sent. This is a separate function because g++ 12 misplaces the
+/// frame of a coroutine in which std::min() takes a temporary.
+core::time_point next_check(core::time_point deadline)
+{
+    return std::min(deadline, core::boot_clock::now() + may_send_check_period);
+}
+
 /// Keep-alive timeout that the server states for the connection, if any.
 std::optional<milliseconds>
 keep_alive_timeout(const http::response_header<>& header)
@@ -590,8 +602,8 @@
 }
 
 // Gets an idle or new connection. Waits while this instance's share of the
-// server's connections is in use. False when the attempt stopped, the
-// connection failed or the request may no longer be sent.
+// server's connections is in use and the request may be sent. False when the
+// attempt stopped, the connection failed or the request may no longer be sent.
 asio::awaitable<bool> upstream::acquire(const core::step_send& step,
                                         exchange& current,
                                         const caller_channel& caller)
@@ -626,7 +638,8 @@
             }
             co_return connected && !current.stopped;
         }
-        co_await pool.connection_available.wait_until(step.deadline);
+        co_await pool.connection_available.wait_until(
+            next_check(step.deadline));
     }
     co_return false;
 }
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -65,7 +65,8 @@
     virtual bool is_gone() const = 0;
 
     /// Whether the request may still go to the server. Asked after each wait
-    /// that precedes the first byte: the server may have begun to leave.
+    /// that precedes the first byte, and regularly while the attempt waits for
+    /// a connection: the server may have begun to leave.
     virtual bool may_send() const
     {
         return true;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -525,6 +525,52 @@
     EXPECT_EQ(this->executions(), 2U);
 }
 
+// Guards against a request that waits for a connection to a server that leaves,
+// or has left, until one of the connections is free: it must be placed again at
+// once.
+TEST_F(a_gateway_fleet_with_few_connections,
+       places_again_what_waits_for_a_connection_to_a_server_that_leaves)
+{
+    const auto call_later = [this](const std::string& target)
+    {
+        return std::async(std::launch::async,
+                          [this, target]
+                          {
+                              return this->call(0, target);
+                          });
+    };
+    auto first = call_later("/order/1?delay_ms=2000");
+    auto second = call_later("/order/2?delay_ms=2000");
+    const auto limit = std::chrono::steady_clock::now() + 10s;
+    while (this->executions() < 2 && std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    auto waiting = call_later("/order/3");
+    std::this_thread::sleep_for(100ms);
+    standin::server_options options;
+    options.name = "s1";
+    const standin::server other(options);
+    this->announce(options.name, other.port());
+    this->on_thread(
+        [this]
+        {
+            for (const auto& instance : this->fleet)
+            {
+                instance->servers.put(*this->servers.find("s1"));
+                instance->servers.mark_leaving({"s0", 1},
+                                               core::boot_clock::now());
+            }
+            return true;
+        });
+    const auto left = std::chrono::steady_clock::now();
+    EXPECT_EQ(waiting.get().status, 200U);
+    EXPECT_LT(std::chrono::steady_clock::now() - left, 1s);
+    EXPECT_EQ(other.journal().size(), 1U);
+    EXPECT_EQ(first.get().status, 200U);
+    EXPECT_EQ(second.get().status, 200U);
+}
+
 /// Fixture: the interface of the users' platform, and servers that answer as
 /// their scripts say.
 class a_gateway_fleet_of_faulty_servers : public a_gateway_fleet
