gateway: log the outcome that the caller got

Cause: the end of any send set the outcome of the request to ok, also the end of a send that a refusal had cancelled, which comes after the refusal. So the log and the metrics said "served" for requests that were answered 504.

Change: the outcome is set where the answer is passed on. A streamed answer that ends early counts as server_closed_early, or caller_gone if the caller left.

Measured: records_the_outcome_that_the_caller_got.

--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -613,7 +613,6 @@
     current.ending = core::name_of(end);
     current.ended_at = now();
     this->report_end(current, outcome, result.latency);
-    this->summary.outcome = result_code::ok;
     if (this->flow)
     {
         if (result.withheld && !this->can_end(current))
@@ -717,12 +716,21 @@
     this->caller->on_disconnect = nullptr;
 }
 
+// Passes the answer on. The outcome is what the caller got: an answer that was
+// being streamed may have ended early.
 asio::awaitable<void> gateway::state::session::deliver(std::size_t number)
 {
     const std::shared_ptr<send> answered_send =
         this->attempts[number].active_send;
-    co_await answered_send->deliver();
+    const bool complete = co_await answered_send->deliver();
     ++this->shared->counts.answered;
+    this->summary.outcome = result_code::ok;
+    if (!complete)
+    {
+        this->summary.outcome = this->caller->is_gone()
+                                    ? result_code::caller_gone
+                                    : result_code::server_closed_early;
+    }
 }
 
 asio::awaitable<void> gateway::state::session::refuse(
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -155,6 +155,48 @@
     }
 }
 
+// Guards against a log that says "served" for a request whose caller got a
+// refusal: the send that the refusal cancels ends after it.
+TEST_F(a_gateway_fleet, records_the_outcome_that_the_caller_got)
+{
+    standin::server_faults modes;
+    modes.hang = true;
+    this->set_modes(modes);
+    std::promise<net::request_summary> ended;
+    this->on_thread(
+        [this, &ended]
+        {
+            this->fleet[0]->entry->on_request_end(
+                [&ended](const net::request_summary& summary)
+                {
+                    ended.set_value(summary);
+                });
+            return true;
+        });
+    auto running = std::async(std::launch::async,
+                              [this]
+                              {
+                                  return this->call(0, "/order/x");
+                              });
+    const auto limit = std::chrono::steady_clock::now() + 10s;
+    while (this->executions() == 0 && std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    this->on_thread(
+        [this]
+        {
+            this->fleet[0]->entry->begin_shutdown(
+                core::shutdown_plan(core::boot_clock::now(), 1200ms, 100ms));
+            this->fleet[0]->entry->end_running();
+            return true;
+        });
+    EXPECT_EQ(running.get().status, 504U);
+    const net::request_summary summary = ended.get_future().get();
+    EXPECT_EQ(summary.outcome, core::result_code::server_timeout);
+    EXPECT_EQ(summary.attempts, 1U);
+}
+
 /// Given the fleet and the names of one server, "s0", that states something
 /// about itself in its answers.
 class a_gateway_fleet_with_a_server_that_states : public a_gateway_fleet
