gateway: answer and release a request that an exception ends

Cause: an exception in a session (such as std::bad_alloc) went through to the session's end. The connection was reset without an answer, the request stayed counted as running, and its grants stayed taken at their owner. An exception in an attempt could leave the coroutine that sends the request behind, with a reference to a request that was gone; one in that coroutine made the attempt wait for its end for ever. One while a connection was set up ended the loop that accepts connections.

Change: a scope object counts the request. An exception ends only the request: its sends are cancelled, its grants given back, and its caller gets 500 (208 instance_failed, no server had it) or 502 (a server may have run it). The grants are given back where the exception is caught and not in a destructor, since that would also run when the event loop is destroyed, after the fleet. A scope object marks the sending coroutine as running, and an attempt waits for it whatever ends either; an attempt that fails before its first byte counts as not sent and as withheld, so that the server is not suspected. The accepting loop goes on.

Not covered: exceptions in callbacks of the event loop outside of coroutines.

--- a/medlarbarrow/core/result_codes.cpp
+++ b/medlarbarrow/core/result_codes.cpp
@@ -49,6 +49,9 @@
     table_row{result_code::limit_home_unreachable, "limit_home_unreachable",
               "the instance that holds the rate of the client account did not "
               "answer"},
+    table_row{result_code::instance_failed, "instance_failed",
+              "the instance had an internal failure while it served the "
+              "request"},
     table_row{result_code::server_connect_failed, "server_connect_failed",
               "no connection to a backend server could be opened"},
     table_row{result_code::server_timeout, "server_timeout",
--- a/medlarbarrow/core/result_codes.hpp
+++ b/medlarbarrow/core/result_codes.hpp
@@ -27,6 +27,7 @@
     shutting_down = 205,
     not_ready = 206,
     limit_home_unreachable = 207,
+    instance_failed = 208,
     server_connect_failed = 301,
     server_timeout = 302,
     server_closed_early = 303,
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -488,8 +488,6 @@
                                                     bool last)
 {
     std::string text = this->format_header(head);
-    this->status = head.status;
-    this->answer_started = true;
     std::string_view chunk_suffix;
     if (this->answer_chunked)
     {
@@ -501,6 +499,8 @@
     const std::array<asio::const_buffer, 4> buffers{
         asio::buffer(text), asio::buffer(part), asio::buffer(chunk_suffix),
         asio::buffer(terminator)};
+    this->status = head.status;
+    this->answer_started = true;
     const bool written = co_await this->write_buffers(buffers);
     this->answer_complete = written && last;
     co_return written;
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -162,6 +162,8 @@
         return 502;
     case result_code::server_timeout:
         return 504;
+    case result_code::instance_failed:
+        return 500;
     default:
         return 503;
     }
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -26,21 +26,32 @@
 
 } // namespace
 
+// An exception ends this connection only, not the loop that accepts others.
 void gateway::state::start_session(tcp::socket&& socket)
 {
     ++this->counts.connections_accepted;
-    const auto opened =
-        std::make_shared<session>(this->shared_from_this(), std::move(socket));
-    this->sessions.insert(opened.get());
-    if (this->plan)
+    std::shared_ptr<session> opened;
+    try
     {
-        opened->connection().drain();
+        opened = std::make_shared<session>(this->shared_from_this(),
+                                           std::move(socket));
+        this->sessions.insert(opened.get());
+        if (this->plan)
+        {
+            opened->connection().drain();
+        }
+        if (this->sending_ended)
+        {
+            opened->connection().expire_reading();
+        }
+        asio::co_spawn(this->io, session::run(opened), asio::detached);
     }
-    if (this->sending_ended)
+    catch (const std::exception& failure)
     {
-        opened->connection().expire_reading();
+        this->sessions.erase(opened.get());
+        log::write(log::level::error, "session_failed",
+                   {log::kv("reason", failure.what())});
     }
-    asio::co_spawn(this->io, session::run(opened), asio::detached);
 }
 
 // Evicts the connection that has been idle for the longest time; false if none
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -53,6 +53,19 @@
     return body.dump();
 }
 
+void log_failure(const std::exception_ptr& failure)
+{
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& thrown)
+    {
+        log::write(log::level::error, "session_failed",
+                   {log::kv("reason", thrown.what())});
+    }
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -62,75 +75,175 @@
     {
         co_await self->serve_requests();
     }
-    catch (const std::exception& failure)
+    catch (const std::exception&)
     {
-        log::write(log::level::error, "session_failed",
-                   {log::kv("reason", failure.what())});
         self->caller->reset();
+        log_failure(std::current_exception());
     }
     self->caller->on_disconnect = nullptr;
     self->shared->on_session_end(*self);
 }
 
+/// Counts the request in progress for as long as it exists.
+class gateway::state::session::request_scope
+{
+public:
+    explicit request_scope(session& current) : owner(current)
+    {
+        ++this->owner.shared->counts.requests;
+        ++this->owner.shared->running_requests;
+        this->owner.serving = true;
+    }
+
+    request_scope(const request_scope&) = delete;
+    request_scope& operator=(const request_scope&) = delete;
+
+    ~request_scope()
+    {
+        --this->owner.shared->running_requests;
+        this->owner.serving = false;
+    }
+
+private:
+    session& owner;
+};
+
 asio::awaitable<void> gateway::state::session::serve_requests()
 {
-    while (!this->caller->is_closing() && !this->caller->is_gone())
+    bool served = true;
+    while (served && !this->caller->is_closing() && !this->caller->is_gone())
+    {
+        served = co_await this->serve_next();
+    }
+    co_await this->caller->close();
+}
+
+// Reads a request and serves it; false if none came. A request that an
+// exception ends gives back what it holds, and its caller is told whether it
+// may have run.
+asio::awaitable<bool> gateway::state::session::serve_next()
+{
+    this->clear_request();
+    std::optional<request_scope> scope;
+    std::exception_ptr failure;
+    bool may_have_run = false;
+    try
     {
         const head_status status = co_await this->caller->read_head();
         this->started_at = now();
-        this->request = {};
         if (status == head_status::closed)
         {
-            break;
+            co_return false;
         }
-        ++this->shared->counts.requests;
-        ++this->shared->running_requests;
-        this->summary = {};
-        this->attempts.clear();
-        this->flow.reset();
-        this->route = nullptr;
-        this->account = nullptr;
-        ++this->request_number;
-        this->serving = true;
-        if (status == head_status::complete)
+        scope.emplace(*this);
+        co_await this->serve_head(status);
+    }
+    catch (const std::exception&)
+    {
+        failure = std::current_exception();
+        may_have_run = this->release_attempts();
+    }
+    if (failure)
+    {
+        if (!scope && this->caller->idle_since())
         {
-            co_await this->serve_request();
+            std::rethrow_exception(failure);
         }
-        else
+        if (!scope)
         {
-            this->caller->close_after_answer();
-            result_code code = result_code::bad_request;
-            if (status == head_status::too_large)
-            {
-                code = result_code::header_too_large;
-            }
-            if (status == head_status::timed_out)
-            {
-                code = result_code::caller_gone;
-            }
-            if (code == result_code::caller_gone && this->shared->sending_ended)
-            {
-                co_await this->refuse_for_shutdown(true);
-            }
-            else
-            {
-                co_await this->refuse(code, false, {});
-            }
+            scope.emplace(*this);
         }
-        --this->shared->running_requests;
-        this->serving = false;
-        this->summary.elapsed = now() - this->started_at;
-        this->log_request();
-        if (this->shared->request_observer)
+        co_await this->answer_failure(failure, may_have_run);
+    }
+    scope.reset();
+    this->summary.elapsed = now() - this->started_at;
+    this->log_request();
+    if (this->shared->request_observer)
+    {
+        this->shared->request_observer(this->summary);
+    }
+    if (!this->caller->is_answer_complete())
+    {
+        this->caller->reset();
+    }
+    co_return true;
+}
+
+// Forgets the previous request and its late events.
+void gateway::state::session::clear_request()
+{
+    this->started_at = now();
+    this->request = {};
+    this->summary = {};
+    this->attempts.clear();
+    this->flow.reset();
+    this->route = nullptr;
+    this->account = nullptr;
+    ++this->request_number;
+}
+
+// Serves the request if its header is whole, else refuses it.
+asio::awaitable<void> gateway::state::session::serve_head(head_status status)
+{
+    if (status == head_status::complete)
+    {
+        co_await this->serve_request();
+        co_return;
+    }
+    this->caller->close_after_answer();
+    result_code code = result_code::bad_request;
+    if (status == head_status::too_large)
+    {
+        code = result_code::header_too_large;
+    }
+    if (status == head_status::timed_out)
+    {
+        code = result_code::caller_gone;
+    }
+    if (code == result_code::caller_gone && this->shared->sending_ended)
+    {
+        co_await this->refuse_for_shutdown(true);
+        co_return;
+    }
+    co_await this->refuse(code, false, {});
+}
+
+// Cancels the sends of the request and gives back its grants after an
+// exception. Returns whether a server may have run the request. No destructor
+// does this: one would also run when the event loop is destroyed, after the
+// fleet.
+bool gateway::state::session::release_attempts()
+{
+    const bool may_have_run = this->flow && this->flow->sends() > 0;
+    this->flow.reset();
+    this->caller->on_disconnect = nullptr;
+    for (std::size_t number = 0; number < this->attempts.size(); ++number)
+    {
+        if (!this->attempts[number].grant)
         {
-            this->shared->request_observer(this->summary);
+            continue;
+        }
+        try
+        {
+            this->cancel(number);
         }
-        if (!this->caller->is_answer_complete())
+        catch (const std::exception&)
         {
-            this->caller->reset();
+            // The others must still be given back.
+            log_failure(std::current_exception());
         }
     }
-    co_await this->caller->close();
+    return may_have_run;
+}
+
+// Answers a request that an exception has ended, unless an answer has begun.
+asio::awaitable<void>
+gateway::state::session::answer_failure(std::exception_ptr failure,
+                                        bool may_have_run)
+{
+    log_failure(failure);
+    this->caller->close_after_answer();
+    co_await this->refuse(result_code::instance_failed, may_have_run, {});
 }
 
 asio::awaitable<void> gateway::state::session::serve_request()
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -154,8 +154,16 @@
         core::time_point ended_at{};
     };
 
+    class request_scope;
+
     asio::awaitable<void> serve_requests();
+    asio::awaitable<bool> serve_next();
+    void clear_request();
+    asio::awaitable<void> serve_head(head_status status);
     asio::awaitable<void> serve_request();
+    bool release_attempts();
+    asio::awaitable<void> answer_failure(std::exception_ptr failure,
+                                         bool may_have_run);
     asio::awaitable<bool> check_header();
     asio::awaitable<bool> read_body();
     asio::awaitable<bool> admit();
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -187,7 +187,8 @@
         caller_gone,
         caller_failed,
         bad_answer,
-        withheld
+        withheld,
+        internal_failure ///< an exception in this instance
     };
 
     exchange(const asio::any_io_executor& executor,
@@ -367,6 +368,7 @@
     bool stopped = false;
 
     std::uint64_t bytes_written = 0;
+    bool write_started = false;
     bool sender_ended = true;
     bool request_complete = false; ///< all request bytes are written
 
@@ -393,6 +395,35 @@
     bool answer_fits = true;
 };
 
+/// Marks the coroutine that sends the request as running while it exists, so
+/// that an attempt never ends before it, whatever ends either.
+class upstream::sender_scope
+{
+public:
+    explicit sender_scope(std::shared_ptr<exchange> current)
+        : attempt(std::move(current))
+    {
+        this->attempt->sender_ended = false;
+    }
+
+    sender_scope(sender_scope&&) noexcept = default;
+    sender_scope(const sender_scope&) = delete;
+    sender_scope& operator=(const sender_scope&) = delete;
+    sender_scope& operator=(sender_scope&&) = delete;
+
+    ~sender_scope()
+    {
+        if (this->attempt)
+        {
+            this->attempt->sender_ended = true;
+            this->attempt->changed.notify();
+        }
+    }
+
+private:
+    std::shared_ptr<exchange> attempt;
+};
+
 /// Clears the caller's callback when the attempt ends in any way.
 class callback_guard
 {
@@ -703,7 +734,26 @@
 upstream::send_request(std::shared_ptr<exchange> current,
                        std::string head,
                        const checked_request& request,
-                       std::shared_ptr<caller_channel> caller)
+                       std::shared_ptr<caller_channel> caller,
+                       sender_scope /*running*/)
+{
+    try
+    {
+        co_await this->write_request(*current, std::move(head), request,
+                                     *caller);
+    }
+    catch (const std::exception&)
+    {
+        // The write that was ended may have sent bytes without counting them.
+        current->bytes_written += current->write_started ? 1 : 0;
+        current->stop(exchange::stop_cause::internal_failure);
+    }
+}
+
+asio::awaitable<void> upstream::write_request(exchange& current,
+                                              std::string head,
+                                              const checked_request& request,
+                                              caller_channel& caller)
 {
     std::uint64_t position = 0;
     bool last = false;
@@ -712,18 +762,18 @@
     do
     {
         const body_part part =
-            co_await caller->read_body(position, current->stopped);
+            co_await caller.read_body(position, current.stopped);
         last = part.last;
         if (part.failed)
         {
-            current->stop(exchange::stop_cause::caller_failed);
+            current.stop(exchange::stop_cause::caller_failed);
         }
         // The wait for the caller's body may have been long.
-        if (current->bytes_written == 0 && !caller->may_send())
+        if (current.bytes_written == 0 && !caller.may_send())
         {
-            current->stop(exchange::stop_cause::withheld);
+            current.stop(exchange::stop_cause::withheld);
         }
-        if (current->stopped)
+        if (current.stopped)
         {
             break;
         }
@@ -744,16 +794,15 @@
         const std::array<asio::const_buffer, 3> buffers{asio::buffer(prefix),
                                                         asio::buffer(part.data),
                                                         asio::buffer(suffix)};
+        current.write_started = true;
         const std::size_t count = co_await asio::async_write(
-            current->socket, buffers,
+            current.socket, buffers,
             asio::redirect_error(asio::use_awaitable, failure));
-        current->bytes_written += count;
+        current.bytes_written += count;
         this->counts->bytes_to_servers += count;
         prefix.clear();
     } while (!failure && !last);
-    current->request_complete = !failure && last && !current->stopped;
-    current->sender_ended = true;
-    current->changed.notify();
+    current.request_complete = !failure && last && !current.stopped;
 }
 
 // Reads and discards an answer that is not the one to this request. False when
@@ -1045,8 +1094,11 @@
     }
     else if (current.bytes_written == 0)
     {
+        // An instance that fails must not make the server suspected.
         result.end = attempt_end::not_sent;
-        result.withheld = current.cause == exchange::stop_cause::withheld;
+        result.withheld =
+            current.cause == exchange::stop_cause::withheld ||
+            current.cause == exchange::stop_cause::internal_failure;
     }
     else if (current.cause == exchange::stop_cause::timed_out)
     {
@@ -1059,6 +1111,49 @@
     return result;
 }
 
+// Gets a connection, sends the request and reads the answer.
+asio::awaitable<void> upstream::run_exchange(std::shared_ptr<exchange> current,
+                                             const core::step_send& step,
+                                             const checked_request& request,
+                                             const trace::context& span,
+                                             caller_channel& caller)
+{
+    const bool acquired = co_await this->acquire(step, *current, caller);
+    if (!acquired)
+    {
+        co_return;
+    }
+    current->send_start = core::boot_clock::now();
+    asio::co_spawn(this->executor,
+                   this->send_request(current,
+                                      this->request_head(step, request, span,
+                                                         current->request_id),
+                                      request, caller.shared_from_this(),
+                                      sender_scope(current)),
+                   asio::detached);
+    co_await this->read_answer(current, step, request, caller);
+    current->history.request_ids.push_back(
+        std::hash<std::string>()(current->request_id));
+    current->history.has_served_head |= request.method == "HEAD";
+}
+
+void upstream::log_failure(const exchange& current,
+                           const std::exception_ptr& failure)
+{
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& thrown)
+    {
+        log::write(log::level::error, "attempt_failed",
+                   {log::kv("id", current.request_id),
+                    log::kv("service", current.service),
+                    log::kv("server", current.server),
+                    log::kv("reason", thrown.what())});
+    }
+}
+
 asio::awaitable<core::attempt_result>
 upstream::attempt(const core::step_send& step,
                   const checked_request& request,
@@ -1096,23 +1191,20 @@
     {
         current->request_id = trace::span_id_text(trace::make_span(span));
     }
-    const bool acquired = co_await this->acquire(step, *current, caller);
-    if (acquired)
-    {
-        current->send_start = core::boot_clock::now();
-        current->sender_ended = false;
-        asio::co_spawn(
-            this->executor,
-            this->send_request(
-                current,
-                this->request_head(step, request, span, current->request_id),
-                request, caller.shared_from_this()),
-            asio::detached);
-        co_await this->read_answer(current, step, request, caller);
-        current->history.request_ids.push_back(
-            std::hash<std::string>()(current->request_id));
-        current->history.has_served_head |= request.method == "HEAD";
-        co_await this->stop_sender(*current, caller);
+    std::exception_ptr failure;
+    try
+    {
+        co_await this->run_exchange(current, step, request, span, caller);
+    }
+    catch (const std::exception&)
+    {
+        failure = std::current_exception();
+        current->stop(exchange::stop_cause::internal_failure);
+    }
+    co_await this->stop_sender(*current, caller);
+    if (failure)
+    {
+        log_failure(*current, failure);
     }
     current->disarm();
     if (current->reusable && current->request_complete && !current->stopped)
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -146,6 +146,7 @@
 private:
     struct server_pool;
     struct exchange;
+    class sender_scope;
 
     std::shared_ptr<server_pool> pool_of(const core::backend_server& server);
     std::size_t share_of(const core::backend_server& server) const noexcept;
@@ -159,7 +160,19 @@
     asio::awaitable<void> send_request(std::shared_ptr<exchange> current,
                                        std::string head,
                                        const checked_request& request,
-                                       std::shared_ptr<caller_channel> caller);
+                                       std::shared_ptr<caller_channel> caller,
+                                       sender_scope running);
+    asio::awaitable<void> write_request(exchange& current,
+                                        std::string head,
+                                        const checked_request& request,
+                                        caller_channel& caller);
+    asio::awaitable<void> run_exchange(std::shared_ptr<exchange> current,
+                                       const core::step_send& step,
+                                       const checked_request& request,
+                                       const trace::context& span,
+                                       caller_channel& caller);
+    static void log_failure(const exchange& current,
+                            const std::exception_ptr& failure);
     asio::awaitable<bool> read_head(exchange& current,
                                     const checked_request& request);
     asio::awaitable<bool> read_part(exchange& current);
