upstream: read the leaving header of discarded and damaged answers

Cause: the header that a server leaves was read only from the request's own answer, once its head had passed all checks. An answer with another id or without one, without the success mark or without framing said nothing.

Change: it is read from each whole head on the connection, before it is decided whose answer that is, and passed on at once. A refusal's Retry-After still counts in the own answer only. What comes after the attempt has ended its connection (an answer after the deadline) is not received, so it cannot be read.

Measured: tell_that_the_server_leaves_whatever_its_answer_is_worth. Before: Value of: result.leaving Actual: false Expected: true Value of: this->caller->stated Actual: false Expected: true After: passed, for five kinds of answer. An own answer whose body is cut was read before, too.

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -502,14 +502,25 @@
     return stated || status == 421;
 }
 
-// Reads what the answer's header states about the server: that it leaves, and
-// for how long a server that refused the request wants nothing more.
+// Passes on at once that the server leaves, if a whole header on its connection
+// says so. Whose answer it is and what becomes of it does not matter.
+void upstream::read_leaving(exchange& current, caller_channel& caller) const
+{
+    const http::response_header<>& header = current.parser->get().base();
+    if (!current.result.leaving && !this->names.leaving.empty() &&
+        header[this->names.leaving] == "1")
+    {
+        current.result.leaving = true;
+        caller.on_answer_header(current.result);
+    }
+}
+
+// Reads from the header for how long a server that refused the request wants
+// nothing more. Only the own answer can say that.
 void upstream::read_statement(exchange& current,
                               const core::step_send& step) const
 {
     const http::response_header<>& header = current.parser->get().base();
-    current.result.leaving =
-        !this->names.leaving.empty() && header[this->names.leaving] == "1";
     const auto retry_after = header.find(http::field::retry_after);
     if (!current.not_run || header.result_int() != 503 ||
         retry_after == header.end())
@@ -845,7 +856,8 @@
 // Reads the final header of the answer, after interim answers. False when there
 // is none or it is invalid.
 asio::awaitable<bool> upstream::read_head(exchange& current,
-                                          const checked_request& request)
+                                          const checked_request& request,
+                                          caller_channel& caller)
 {
     error_code failure;
     for (unsigned count = 0; count < max_skipped_answers; ++count)
@@ -861,6 +873,7 @@
         {
             break;
         }
+        this->read_leaving(current, caller);
         if (current.parser->get().result_int() / 100 == 1)
         {
             continue;
@@ -1009,7 +1022,7 @@
                                             const checked_request& request,
                                             caller_channel& caller)
 {
-    bool proceed = co_await this->read_head(*current, request);
+    bool proceed = co_await this->read_head(*current, request, caller);
     if (proceed)
     {
         this->read_statement(*current, step);
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -74,6 +74,8 @@
 
     /// Called when the header of the server's answer has been read, before
     /// anything is passed on. `result` is complete up to the answer's body.
+    /// Called before that, with `leaving` alone, when a header says that the
+    /// server leaves; its answer may be discarded or damaged.
     virtual void on_answer_header(const core::attempt_result& /*result*/) {}
 
     /// Called when the caller disconnects. Set only during an attempt.
@@ -174,7 +176,8 @@
     static void log_failure(const exchange& current,
                             const std::exception_ptr& failure);
     asio::awaitable<bool> read_head(exchange& current,
-                                    const checked_request& request);
+                                    const checked_request& request,
+                                    caller_channel& caller);
     asio::awaitable<bool> read_part(exchange& current);
     asio::awaitable<bool>
     forward_part(exchange& current, bool keep_answer, caller_channel& caller);
@@ -192,6 +195,7 @@
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
+    void read_leaving(exchange& current, caller_channel& caller) const;
     void read_statement(exchange& current, const core::step_send& step) const;
     std::string request_head(const core::step_send& step,
                              const checked_request& request,
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -4,9 +4,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <medlarbarrow/net/upstream.hpp>
 #include <standin/server.hpp>
+#include <thread>
 
 using namespace medlarbarrow;
 using core::attempt_end;
@@ -116,6 +119,51 @@
     std::shared_ptr<recording_caller> caller;
 };
 
+/// Accepts one connection, reads the head of a request, writes a text and
+/// closes the connection.
+class one_answer_server
+{
+public:
+    explicit one_answer_server(std::string text)
+        : answer(std::move(text)), thread(
+                                       [this]
+                                       {
+                                           this->serve();
+                                       })
+    {
+    }
+
+    one_answer_server(const one_answer_server&) = delete;
+    one_answer_server& operator=(const one_answer_server&) = delete;
+
+    ~one_answer_server()
+    {
+        this->thread.join();
+    }
+
+    std::uint16_t port() const
+    {
+        return this->acceptor.local_endpoint().port();
+    }
+
+private:
+    void serve()
+    {
+        asio::ip::tcp::socket socket = this->acceptor.accept();
+        std::string input;
+        boost::system::error_code ignored;
+        asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                         ignored);
+        asio::write(socket, asio::buffer(this->answer), ignored);
+    }
+
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor{this->io,
+                                     {asio::ip::make_address("127.0.0.1"), 0}};
+    std::string answer;
+    std::thread thread;
+};
+
 /// Attempts with the settings of orders: a new connection and a stored answer.
 class attempts_of_orders : public attempts
 {
@@ -183,6 +231,44 @@
     EXPECT_TRUE(refused.leaving);
 }
 
+// Guards against a leaving header that is not read because the answer that
+// carries it is discarded or damaged.
+TEST_F(attempts, tell_that_the_server_leaves_whatever_its_answer_is_worth)
+{
+    net::http_interface names;
+    names.answers_bear_request_id = true;
+    names.success_mark = "Whole";
+    this->request.id = "own";
+    const std::string leaving = names.leaving + ": 1\r\n";
+    const std::string own_id = names.request_id + ": own\r\n";
+    const std::string other_id = names.request_id + ": other\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + leaving;
+    for (const std::string& answer :
+         {ok + other_id + "Content-Length: 0\r\n\r\n", // of another request
+          ok + "Content-Length: 0\r\n\r\n",            // without an id
+          ok + own_id + "Content-Length: 0\r\n\r\n",   // without the mark
+          ok + own_id + "Whole: 1\r\n\r\n",            // without framing
+          ok + own_id + "Whole: 1\r\nContent-Length: 9\r\n\r\ncut"})
+    {
+        const one_answer_server server(answer);
+        this->step.server.port = server.port();
+        net::upstream connections{this->io.get_executor(),
+                                  config::entry_bounds{}, names};
+        const auto result = this->run_at(connections, "/a");
+        EXPECT_EQ(result.end, attempt_end::closed_early) << answer;
+        EXPECT_TRUE(result.leaving) << answer;
+        ASSERT_TRUE(this->caller->stated) << answer;
+        EXPECT_TRUE(this->caller->stated->leaving) << answer;
+        EXPECT_EQ(this->caller->status, 0U) << answer;
+    }
+    // A head that is not complete states nothing.
+    const one_answer_server server(ok + own_id);
+    this->step.server.port = server.port();
+    net::upstream connections{this->io.get_executor(), config::entry_bounds{},
+                              names};
+    EXPECT_FALSE(this->run_at(connections, "/a").leaving);
+}
+
 // Guards against a request whose body arrives late, and that is sent although
 // its server has begun to leave meanwhile.
 TEST_F(attempts, that_wait_for_their_body_check_again_before_they_write)
