caller: answer a caller that has ended its sending side

Cause: the end of a caller's input counted as the end of its connection, so a caller that shuts down its sending side after a whole request got no answer.

Change: after a whole request, only a reset or a failed write counts as gone (not with TLS).

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 #include <medlarbarrow/net/caller.hpp>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace medlarbarrow::net
 {
@@ -18,6 +19,10 @@
 constexpr std::size_t max_chunk_bytes = 16384;
 constexpr std::string_view header_end = "\r\n\r\n";
 
+/// Interim answer that every client of HTTP/1.1 must skip. A caller that has
+/// closed its connection, and not only ended its input, resets it in reply.
+constexpr std::string_view probe = "HTTP/1.1 100 Continue\r\n\r\n";
+
 /// While draining, a connection stays open for this long after it was opened
 /// or last used, since its next request may already be on the way.
 constexpr seconds drain_grace{1};
@@ -111,8 +116,7 @@
 }
 
 // Keeps one read outstanding while the input buffer has room. The read also
-// detects a caller that disconnects during its request. A half-closed
-// connection counts as disconnected, as it looks the same as a closed one.
+// detects a caller that disconnects during its request.
 void caller_connection::start_read()
 {
     const std::size_t room = this->input.max_size() - this->input.size();
@@ -139,9 +143,12 @@
     if (failure)
     {
         this->read_ended = true;
-        if (const auto callback = this->on_disconnect)
+        this->disconnected |=
+            failure != asio::error::eof || this->stream.tls() != nullptr;
+        this->probe_ended_input();
+        if (this->is_gone())
         {
-            callback();
+            this->tell_disconnect();
         }
     }
     else
@@ -151,6 +158,47 @@
     this->changed.notify();
 }
 
+// After the end of the caller's input behind a whole request: finds out whether
+// the caller has closed the connection or still waits for the answer. A closed
+// connection looks the same until something is written to it. Not with TLS,
+// where the end of the input counts as the end of the connection.
+void caller_connection::probe_ended_input()
+{
+    if (!this->read_ended || !this->is_body_complete() || this->is_gone() ||
+        this->answer_started || this->probed)
+    {
+        return;
+    }
+    this->probed = true;
+    this->stream.socket().async_wait(
+        asio::socket_base::wait_error,
+        [self = this->shared_self()](error_code failure)
+        {
+            if (!failure)
+            {
+                self->disconnected = true;
+                self->tell_disconnect();
+            }
+        });
+    const ssize_t written =
+        ::send(this->stream.socket().native_handle(), probe.data(),
+               probe.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    // Part of the probe would garble the answer that follows.
+    if (written > 0 && static_cast<std::size_t>(written) < probe.size())
+    {
+        this->reset();
+    }
+}
+
+void caller_connection::tell_disconnect()
+{
+    if (const auto callback = this->on_disconnect)
+    {
+        callback();
+    }
+    this->changed.notify();
+}
+
 std::string_view caller_connection::buffered() const
 {
     const auto bytes = this->input.cdata();
@@ -173,6 +221,7 @@
 asio::awaitable<head_status> caller_connection::read_head()
 {
     this->idle_start = core::boot_clock::now();
+    this->parser.reset();
     this->answer_started = false;
     this->answer_complete = false;
     this->status = 0;
@@ -305,6 +354,7 @@
     this->body_bytes_received += part.size();
     this->store_for_replay(part);
     this->start_read();
+    this->probe_ended_input();
     return part;
 }
 
@@ -341,13 +391,14 @@
         {
             continue;
         }
-        if (this->is_gone() || this->reading_expired ||
+        if (this->is_input_over() || this->reading_expired ||
             core::boot_clock::now() >= deadline)
         {
             co_return false;
         }
         co_await this->changed.wait_until(deadline);
     }
+    this->probe_ended_input();
     co_return true;
 }
 
@@ -379,7 +430,7 @@
         {
             continue;
         }
-        if (this->is_gone())
+        if (this->is_input_over())
         {
             co_return body_part{{}, false, true};
         }
@@ -393,9 +444,17 @@
     this->changed.notify();
 }
 
+// Input that has not been decoded yet may complete the request.
 bool caller_connection::is_gone() const
 {
-    return this->read_ended || this->closed;
+    return this->closed || this->disconnected ||
+           (this->read_ended && !this->is_body_complete() &&
+            this->input.size() == 0);
+}
+
+bool caller_connection::is_input_over() const
+{
+    return this->closed || this->disconnected || this->read_ended;
 }
 
 // Resets the connection if the operation that follows takes longer than
@@ -447,6 +506,7 @@
         this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
     this->stop_operation_timer();
+    this->disconnected |= static_cast<bool>(failure);
     co_return !failure;
 }
 
@@ -463,7 +523,8 @@
 {
     // After an answer to a partly read request, the rest of the body would be
     // parsed as the next request.
-    this->closes_after_answer |= this->draining || !this->is_body_complete();
+    this->closes_after_answer |= this->draining || !this->is_body_complete() ||
+                                 (this->read_ended && this->input.size() == 0);
     std::string text =
         fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason);
     text += head.lines;
@@ -548,11 +609,7 @@
     this->closed = true;
     error_code ignored;
     this->stream.socket().close(ignored);
-    if (const auto callback = this->on_disconnect)
-    {
-        callback();
-    }
-    this->changed.notify();
+    this->tell_disconnect();
 }
 
 void caller_connection::reset()
@@ -595,7 +652,7 @@
     }
     const core::time_point deadline = core::boot_clock::now() + linger_limit;
     std::size_t discarded = 0;
-    while (!this->is_gone() && discarded < linger_bytes &&
+    while (!this->read_ended && !this->closed && discarded < linger_bytes &&
            core::boot_clock::now() < deadline)
     {
         discarded += this->input.size();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -197,6 +197,60 @@
     EXPECT_EQ(summary.attempts, 1U);
 }
 
+// Guards against a caller that shuts down its sending side after a request and
+// gets no answer: it still reads.
+TEST_F(a_gateway_fleet, answers_a_caller_that_has_ended_its_sending_side)
+{
+    for (const int delay_ms : {0, 300})
+    {
+        test_caller caller(this->endpoint_of(0));
+        caller.send(fmt::format("GET /browse/x?delay_ms={} HTTP/1.1\r\n"
+                                "Host: a.example\r\n"
+                                "Authorization: Bearer {}\r\n\r\n",
+                                delay_ms, test_key));
+        caller.socket.shutdown(tcp::socket::shutdown_send);
+        const test_answer answer = caller.read_answer();
+        EXPECT_EQ(answer.status, 200U) << delay_ms;
+        EXPECT_FALSE(answer.cut) << delay_ms;
+    }
+}
+
+// Guards against a server that goes on working for a caller that has closed its
+// connection.
+TEST_F(a_gateway_fleet, cancels_the_request_of_a_caller_that_has_closed)
+{
+    standin::server_faults modes;
+    modes.hang = true;
+    this->set_modes(modes);
+    {
+        test_caller caller(this->endpoint_of(0));
+        caller.send(fmt::format("GET /order/x HTTP/1.1\r\nHost: a.example\r\n"
+                                "Authorization: Bearer {}\r\n\r\n",
+                                test_key));
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (this->executions() == 0 &&
+               std::chrono::steady_clock::now() < limit)
+        {
+            std::this_thread::sleep_for(5ms);
+        }
+        ASSERT_EQ(this->executions(), 1U);
+    }
+    const auto closed = std::chrono::steady_clock::now();
+    std::uint64_t gone = 0;
+    while (gone == 0 && std::chrono::steady_clock::now() - closed < 10s)
+    {
+        std::this_thread::sleep_for(5ms);
+        gone = this->on_thread(
+            [this]
+            {
+                return this->fleet[0]->entry->counters().callers_gone;
+            });
+    }
+    EXPECT_EQ(gone, 1U);
+    // Long before the deadline of the request, which is 3 s.
+    EXPECT_LT(std::chrono::steady_clock::now() - closed, 1s);
+}
+
 /// Given the fleet and the names of one server, "s0", that states something
 /// about itself in its answers.
 class a_gateway_fleet_with_a_server_that_states : public a_gateway_fleet
