Say which answer with a cut head cannot be recognized

With answers that end with their connection allowed (the users' platform does), a success without a framing header and without a body is valid. A server that ends its head after the request id and the success mark, but before the framing header, writes exactly that. No check can tell the two apart, so nothing changes but the doc comments.

--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -42,7 +42,10 @@
     /// unchanged.
     bool forward_target_unchanged = false;
     bool forward_request_id = false; ///< forwards the caller's request id
-    /// An answer without a framing header ends where its connection ends.
+    /// An answer without a framing header ends where its connection ends. Then
+    /// a success whose head is ended before its framing header, but after the
+    /// request id and the success mark, cannot be told from one with an empty
+    /// body: both are valid.
     bool answers_until_close = false;
     /// Time after the deadline for which an answer of unknown length may go on.
     /// Without such a limit, a server that sends without end would hold the
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -480,7 +480,8 @@
 }
 
 // True for an answer that ends with its connection. Unless the interface allows
-// such answers, one that ends early would look complete.
+// such answers, one that ends early would look complete. If it does, only the
+// request id and the success mark tell that the head is whole.
 bool upstream::ends_with_connection(const exchange& current) const
 {
     const http::response_header<>& header = current.parser->get().base();
