--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -390,7 +390,7 @@
     std::optional<answer_parser> parser;
     answer_head head;
     std::vector<char> part_buffer;
-    std::size_t filled = 0; ///< bytes of `piece` in use
+    std::size_t filled = 0; ///< bytes of `part_buffer` in use
     core::stored_answer stored;
     bool answer_fits = true;
 };
