--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -50,30 +50,20 @@
         this->request.id = id;
         this->step.deadline = core::boot_clock::now() + deadline;
         this->caller = std::make_shared<recording_caller>();
-        core::attempt_result result;
-        bool ended = false;
-        asio::co_spawn(
-            this->io,
-            [&]() -> asio::awaitable<void>
-            {
-                result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{},
-                    *this->caller);
-                ended = true;
-            },
-            asio::detached);
+        tests::running_attempt attempt(this->io, this->servers, this->step,
+                                       this->request, this->caller);
         this->io.restart();
         const auto give_up = std::chrono::steady_clock::now() + test_timeout;
-        while (!ended && std::chrono::steady_clock::now() < give_up &&
+        while (!attempt.result && std::chrono::steady_clock::now() < give_up &&
                this->io.run_one_for(test_timeout) > 0)
         {
         }
-        EXPECT_TRUE(ended) << "the attempt goes on without end";
-        this->caller->fails_writes = !ended;
-        while (!ended && this->io.run_one() > 0)
+        EXPECT_TRUE(attempt.result) << "the attempt goes on without end";
+        this->caller->fails_writes = !attempt.result;
+        while (!attempt.result && this->io.run_one() > 0)
         {
         }
-        return result;
+        return attempt.result.value_or(core::attempt_result{});
     }
 
     asio::io_context io;
--- a/tests/recording_caller.hpp
+++ b/tests/recording_caller.hpp
@@ -1,6 +1,9 @@
 /// A caller for tests of attempts to send requests to servers.
 #pragma once
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 #include <string>
 
@@ -79,4 +82,39 @@
     bool stated_first = false; ///< before anything was passed on
 };
 
+/// An attempt that runs on an event loop. Must exist until it has ended.
+class running_attempt
+{
+public:
+    running_attempt(asio::io_context& io,
+                    net::upstream& servers,
+                    const core::step_send& attempt_step,
+                    const net::checked_request& attempt_request,
+                    std::shared_ptr<recording_caller> attempt_caller =
+                        std::make_shared<recording_caller>())
+        : caller(std::move(attempt_caller)), step(attempt_step),
+          request(attempt_request)
+    {
+        asio::co_spawn(io, this->run(servers), asio::detached);
+    }
+
+    running_attempt(const running_attempt&) = delete;
+    running_attempt& operator=(const running_attempt&) = delete;
+
+    std::shared_ptr<recording_caller> caller;
+    std::optional<core::attempt_result> result; ///< once it has ended
+
+private:
+    asio::awaitable<void> run(net::upstream& servers)
+    {
+        // An attempt that a failed test leaves behind still refers to it.
+        const std::shared_ptr<recording_caller> held = this->caller;
+        this->result = co_await servers.attempt(this->step, this->request,
+                                                net::trace::context{}, *held);
+    }
+
+    core::step_send step;
+    net::checked_request request;
+};
+
 } // namespace medlarbarrow::tests
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,11 +1,8 @@
 #include "recording_caller.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <medlarbarrow/net/upstream.hpp>
 #include <standin/server.hpp>
@@ -15,6 +12,7 @@
 using core::attempt_end;
 using std::chrono::milliseconds;
 using tests::recording_caller;
+using tests::running_attempt;
 
 namespace
 {
@@ -53,18 +51,8 @@
         this->request.target = target;
         this->step.deadline = core::boot_clock::now() + deadline;
         this->caller = std::make_shared<recording_caller>();
-        core::attempt_result result;
-        bool ended = false;
-        asio::co_spawn(
-            this->io,
-            [&]() -> asio::awaitable<void>
-            {
-                result = co_await connections.attempt(this->step, this->request,
-                                                      net::trace::context{},
-                                                      *this->caller);
-                ended = true;
-            },
-            asio::detached);
+        running_attempt attempt(this->io, connections, this->step,
+                                this->request, this->caller);
         asio::steady_timer disconnect_timer(this->io);
         if (disconnect_after > milliseconds(0))
         {
@@ -75,33 +63,59 @@
                     this->caller->disconnect();
                 });
         }
+        return this->finish(attempt);
+    }
+
+    /// Runs the event loop until the attempt has ended.
+    core::attempt_result finish(const running_attempt& attempt)
+    {
         this->io.restart();
-        while (!ended && this->io.run_one() > 0)
+        while (!attempt.result && this->io.run_one() > 0)
+        {
+        }
+        return attempt.result.value_or(core::attempt_result{});
+    }
+
+    /// Starts attempts that take `delay` at the server, which accepts
+    /// `connections` from this instance.
+    void start_attempts(std::size_t count,
+                        std::uint32_t connections,
+                        milliseconds delay)
+    {
+        this->step.server.connections = connections;
+        this->step.deadline =
+            core::boot_clock::now() + std::chrono::seconds(20);
+        this->request.target = fmt::format("/a?delay_ms={}", delay.count());
+        while (this->started.size() < count)
         {
+            this->started.push_back(std::make_unique<running_attempt>(
+                this->io, this->servers, this->step, this->request));
         }
-        return result;
     }
 
-    /// Runs one attempt of the caller that the test has set.
-    core::attempt_result run_with(std::shared_ptr<recording_caller> with)
+    bool all_ended() const
     {
-        this->step.deadline = core::boot_clock::now() + milliseconds(10000);
-        core::attempt_result result;
-        bool ended = false;
-        asio::co_spawn(
-            this->io,
-            [&]() -> asio::awaitable<void>
+        return std::all_of(this->started.begin(), this->started.end(),
+                           [](const auto& attempt)
+                           {
+                               return attempt->result.has_value();
+                           });
+    }
+
+    /// Runs the event loop until the started attempts have ended, and calls
+    /// `change` after 100 ms.
+    void finish_started(const std::function<void()>& change)
+    {
+        asio::steady_timer timer(this->io, milliseconds(100));
+        timer.async_wait(
+            [&change](boost::system::error_code)
             {
-                result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *with);
-                ended = true;
-            },
-            asio::detached);
+                change();
+            });
         this->io.restart();
-        while (!ended && this->io.run_one() > 0)
+        while (!this->all_ended() && this->io.run_one() > 0)
         {
         }
-        return result;
     }
 
     void set_mode(bool standin::server_faults::*mode)
@@ -117,6 +131,7 @@
     core::step_send step;
     net::checked_request request;
     std::shared_ptr<recording_caller> caller;
+    std::vector<std::unique_ptr<running_attempt>> started;
 };
 
 /// Accepts one connection, reads the head of a request, writes a text and
@@ -287,7 +302,11 @@
         }
     };
     this->request.target = "/a";
-    const auto result = this->run_with(std::make_shared<slow_caller>());
+    this->step.deadline = core::boot_clock::now() + milliseconds(10000);
+    const running_attempt attempt(this->io, this->servers, this->step,
+                                  this->request,
+                                  std::make_shared<slow_caller>());
+    const auto result = this->finish(attempt);
     EXPECT_EQ(result.end, attempt_end::not_sent);
     EXPECT_TRUE(result.withheld);
     EXPECT_EQ(this->backend.requests_received(), 0U);
@@ -336,42 +355,16 @@
 TEST_F(attempts, that_may_no_longer_be_sent_write_nothing)
 {
     // The instance's share is two connections; both are in use.
-    this->step.server.connections = 2;
-    this->request.target = "/a?delay_ms=300";
-    this->step.deadline = core::boot_clock::now() + milliseconds(10000);
-    std::vector<core::attempt_result> results(3);
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    std::size_t ended = 0;
-    const auto start = [&](std::size_t index)
-    {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, index]() -> asio::awaitable<void>
-            {
-                results[index] = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{},
-                    *callers[index]);
-                ++ended;
-            },
-            asio::detached);
-    };
-    start(0);
-    start(1);
-    start(2);
-    asio::steady_timer begins_to_leave(this->io, milliseconds(100));
-    begins_to_leave.async_wait(
-        [&](boost::system::error_code)
+    this->start_attempts(3, 2, milliseconds(300));
+    this->finish_started(
+        [this]
         {
-            callers[2]->sending_allowed = false;
+            this->started[2]->caller->sending_allowed = false;
         });
-    while (ended < 3 && this->io.run_one() > 0)
-    {
-    }
-    EXPECT_EQ(results[0].end, attempt_end::answered);
-    EXPECT_EQ(results[1].end, attempt_end::answered);
-    EXPECT_EQ(results[2].end, attempt_end::not_sent);
-    EXPECT_TRUE(results[2].withheld);
+    EXPECT_EQ(this->started[0]->result->end, attempt_end::answered);
+    EXPECT_EQ(this->started[1]->result->end, attempt_end::answered);
+    EXPECT_EQ(this->started[2]->result->end, attempt_end::not_sent);
+    EXPECT_TRUE(this->started[2]->result->withheld);
     EXPECT_EQ(this->servers.counters().connections_opened, 2U);
     EXPECT_EQ(this->servers.counters().connections_reused, 0U);
     EXPECT_EQ(this->backend.requests_received(), 2U);
@@ -461,27 +454,14 @@
 TEST_F(attempts, keep_to_their_share_of_connections)
 {
     this->servers.set_max_instances(100); // 360 / 100 = 3
-    int running = 30;
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    this->request.target = "/a?delay_ms=5";
-    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
-    for (int count = 0; count < 30; ++count)
+    this->start_attempts(30, 360, milliseconds(5));
+    while (!this->all_ended() && this->io.run_one() > 0)
     {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, caller = callers.back()]() -> asio::awaitable<void>
-            {
-                const auto result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *caller);
-                EXPECT_EQ(result.end, attempt_end::answered);
-                --running;
-            },
-            asio::detached);
+        EXPECT_LE(this->servers.counters().connections_open, 3U);
     }
-    while (running > 0 && this->io.run_one() > 0)
+    for (const auto& attempt : this->started)
     {
-        EXPECT_LE(this->servers.counters().connections_open, 3U);
+        EXPECT_EQ(attempt->result->end, attempt_end::answered);
     }
     EXPECT_EQ(this->backend.connections_accepted(), 3U);
 }
@@ -491,39 +471,30 @@
 // against servers that are suspected because the instance stops.
 TEST_F(attempts, that_wait_for_a_connection_are_not_sent_when_sending_stops)
 {
-    this->step.server.connections = 2;
-    this->request.target = "/a?delay_ms=300";
-    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    std::vector<attempt_end> ends;
-    std::vector<bool> withheld;
-    for (int count = 0; count < 4; ++count)
-    {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, caller = callers.back()]() -> asio::awaitable<void>
-            {
-                const auto result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *caller);
-                ends.push_back(result.end);
-                withheld.push_back(result.withheld);
-            },
-            asio::detached);
-    }
-    asio::steady_timer timer(this->io, milliseconds(100));
-    timer.async_wait(
-        [this](boost::system::error_code)
+    this->start_attempts(4, 2, milliseconds(300));
+    this->finish_started(
+        [this]
         {
             this->servers.stop_sending();
+            // Those that wait end before those that run.
+            this->io.poll();
+            EXPECT_FALSE(this->started[0]->result);
+            EXPECT_FALSE(this->started[1]->result);
+            EXPECT_TRUE(this->started[2]->result);
+            EXPECT_TRUE(this->started[3]->result);
         });
-    while (ends.size() < 4 && this->io.run_one() > 0)
+    for (const std::size_t running : {0U, 1U})
+    {
+        const core::attempt_result& result = *this->started[running]->result;
+        EXPECT_EQ(result.end, attempt_end::answered);
+        EXPECT_FALSE(result.withheld);
+    }
+    for (const std::size_t waiting : {2U, 3U})
     {
+        const core::attempt_result& result = *this->started[waiting]->result;
+        EXPECT_EQ(result.end, attempt_end::not_sent);
+        EXPECT_TRUE(result.withheld);
     }
-    EXPECT_EQ(ends,
-              (std::vector{attempt_end::not_sent, attempt_end::not_sent,
-                           attempt_end::answered, attempt_end::answered}));
-    EXPECT_EQ(withheld, (std::vector{true, true, false, false}));
     EXPECT_EQ(this->backend.journal().size(), 2U);
 }
 
