--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -65,7 +65,8 @@
     virtual bool is_gone() const = 0;
 
     /// Whether the request may still go to the server. Asked after each wait
-    /// that precedes the first byte: the server may have begun to leave.
+    /// that precedes the first byte, and regularly while the attempt waits for
+    /// a connection: the server may have begun to leave.
     virtual bool may_send() const
     {
         return true;
@@ -73,6 +74,8 @@
 
     /// Called when the header of the server's answer has been read, before
     /// anything is passed on. `result` is complete up to the answer's body.
+    /// Called before that, with `leaving` alone, when a header says that the
+    /// server leaves; its answer may be discarded or damaged.
     virtual void on_answer_header(const core::attempt_result& /*result*/) {}
 
     /// Called when the caller disconnects. Set only during an attempt.
@@ -145,6 +148,7 @@
 private:
     struct server_pool;
     struct exchange;
+    class sender_scope;
 
     std::shared_ptr<server_pool> pool_of(const core::backend_server& server);
     std::size_t share_of(const core::backend_server& server) const noexcept;
@@ -158,9 +162,22 @@
     asio::awaitable<void> send_request(std::shared_ptr<exchange> current,
                                        std::string head,
                                        const checked_request& request,
-                                       std::shared_ptr<caller_channel> caller);
+                                       std::shared_ptr<caller_channel> caller,
+                                       sender_scope running);
+    asio::awaitable<void> write_request(exchange& current,
+                                        std::string head,
+                                        const checked_request& request,
+                                        caller_channel& caller);
+    asio::awaitable<void> run_exchange(std::shared_ptr<exchange> current,
+                                       const core::step_send& step,
+                                       const checked_request& request,
+                                       const trace::context& span,
+                                       caller_channel& caller);
+    static void log_failure(const exchange& current,
+                            const std::exception_ptr& failure);
     asio::awaitable<bool> read_head(exchange& current,
-                                    const checked_request& request);
+                                    const checked_request& request,
+                                    caller_channel& caller);
     asio::awaitable<bool> read_part(exchange& current);
     asio::awaitable<bool>
     forward_part(exchange& current, bool keep_answer, caller_channel& caller);
@@ -178,6 +195,7 @@
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
+    void read_leaving(exchange& current, caller_channel& caller) const;
     void read_statement(exchange& current, const core::step_send& step) const;
     std::string request_head(const core::step_send& step,
                              const checked_request& request,
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,17 +1,18 @@
 #include "recording_caller.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <medlarbarrow/net/upstream.hpp>
 #include <standin/server.hpp>
+#include <thread>
 
 using namespace medlarbarrow;
 using core::attempt_end;
 using std::chrono::milliseconds;
 using tests::recording_caller;
+using tests::running_attempt;
 
 namespace
 {
@@ -50,18 +51,8 @@
         this->request.target = target;
         this->step.deadline = core::boot_clock::now() + deadline;
         this->caller = std::make_shared<recording_caller>();
-        core::attempt_result result;
-        bool ended = false;
-        asio::co_spawn(
-            this->io,
-            [&]() -> asio::awaitable<void>
-            {
-                result = co_await connections.attempt(this->step, this->request,
-                                                      net::trace::context{},
-                                                      *this->caller);
-                ended = true;
-            },
-            asio::detached);
+        running_attempt attempt(this->io, connections, this->step,
+                                this->request, this->caller);
         asio::steady_timer disconnect_timer(this->io);
         if (disconnect_after > milliseconds(0))
         {
@@ -72,33 +63,59 @@
                     this->caller->disconnect();
                 });
         }
+        return this->finish(attempt);
+    }
+
+    /// Runs the event loop until the attempt has ended.
+    core::attempt_result finish(const running_attempt& attempt)
+    {
         this->io.restart();
-        while (!ended && this->io.run_one() > 0)
+        while (!attempt.result && this->io.run_one() > 0)
         {
         }
-        return result;
+        return attempt.result.value_or(core::attempt_result{});
     }
 
-    /// Runs one attempt of the caller that the test has set.
-    core::attempt_result run_with(std::shared_ptr<recording_caller> with)
+    /// Starts attempts that take `delay` at the server, which accepts
+    /// `connections` from this instance.
+    void start_attempts(std::size_t count,
+                        std::uint32_t connections,
+                        milliseconds delay)
     {
-        this->step.deadline = core::boot_clock::now() + milliseconds(10000);
-        core::attempt_result result;
-        bool ended = false;
-        asio::co_spawn(
-            this->io,
-            [&]() -> asio::awaitable<void>
+        this->step.server.connections = connections;
+        this->step.deadline =
+            core::boot_clock::now() + std::chrono::seconds(20);
+        this->request.target = fmt::format("/a?delay_ms={}", delay.count());
+        while (this->started.size() < count)
+        {
+            this->started.push_back(std::make_unique<running_attempt>(
+                this->io, this->servers, this->step, this->request));
+        }
+    }
+
+    bool all_ended() const
+    {
+        return std::all_of(this->started.begin(), this->started.end(),
+                           [](const auto& attempt)
+                           {
+                               return attempt->result.has_value();
+                           });
+    }
+
+    /// Runs the event loop until the started attempts have ended, and calls
+    /// `change` after 100 ms.
+    void finish_started(const std::function<void()>& change)
+    {
+        asio::steady_timer timer(this->io, milliseconds(100));
+        timer.async_wait(
+            [&change](boost::system::error_code)
             {
-                result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *with);
-                ended = true;
-            },
-            asio::detached);
+                change();
+            });
         this->io.restart();
-        while (!ended && this->io.run_one() > 0)
+        while (!this->all_ended() && this->io.run_one() > 0)
         {
         }
-        return result;
     }
 
     void set_mode(bool standin::server_faults::*mode)
@@ -114,6 +131,52 @@
     core::step_send step;
     net::checked_request request;
     std::shared_ptr<recording_caller> caller;
+    std::vector<std::unique_ptr<running_attempt>> started;
+};
+
+/// Accepts one connection, reads the head of a request, writes a text and
+/// closes the connection.
+class one_answer_server
+{
+public:
+    explicit one_answer_server(std::string text)
+        : answer(std::move(text)), thread(
+                                       [this]
+                                       {
+                                           this->serve();
+                                       })
+    {
+    }
+
+    one_answer_server(const one_answer_server&) = delete;
+    one_answer_server& operator=(const one_answer_server&) = delete;
+
+    ~one_answer_server()
+    {
+        this->thread.join();
+    }
+
+    std::uint16_t port() const
+    {
+        return this->acceptor.local_endpoint().port();
+    }
+
+private:
+    void serve()
+    {
+        asio::ip::tcp::socket socket = this->acceptor.accept();
+        std::string input;
+        boost::system::error_code ignored;
+        asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                         ignored);
+        asio::write(socket, asio::buffer(this->answer), ignored);
+    }
+
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor{this->io,
+                                     {asio::ip::make_address("127.0.0.1"), 0}};
+    std::string answer;
+    std::thread thread;
 };
 
 /// Attempts with the settings of orders: a new connection and a stored answer.
@@ -183,6 +246,44 @@
     EXPECT_TRUE(refused.leaving);
 }
 
+// Guards against a leaving header that is not read because the answer that
+// carries it is discarded or damaged.
+TEST_F(attempts, tell_that_the_server_leaves_whatever_its_answer_is_worth)
+{
+    net::http_interface names;
+    names.answers_bear_request_id = true;
+    names.success_mark = "Whole";
+    this->request.id = "own";
+    const std::string leaving = names.leaving + ": 1\r\n";
+    const std::string own_id = names.request_id + ": own\r\n";
+    const std::string other_id = names.request_id + ": other\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + leaving;
+    for (const std::string& answer :
+         {ok + other_id + "Content-Length: 0\r\n\r\n", // of another request
+          ok + "Content-Length: 0\r\n\r\n",            // without an id
+          ok + own_id + "Content-Length: 0\r\n\r\n",   // without the mark
+          ok + own_id + "Whole: 1\r\n\r\n",            // without framing
+          ok + own_id + "Whole: 1\r\nContent-Length: 9\r\n\r\ncut"})
+    {
+        const one_answer_server server(answer);
+        this->step.server.port = server.port();
+        net::upstream connections{this->io.get_executor(),
+                                  config::entry_bounds{}, names};
+        const auto result = this->run_at(connections, "/a");
+        EXPECT_EQ(result.end, attempt_end::closed_early) << answer;
+        EXPECT_TRUE(result.leaving) << answer;
+        ASSERT_TRUE(this->caller->stated) << answer;
+        EXPECT_TRUE(this->caller->stated->leaving) << answer;
+        EXPECT_EQ(this->caller->status, 0U) << answer;
+    }
+    // A head that is not complete states nothing.
+    const one_answer_server server(ok + own_id);
+    this->step.server.port = server.port();
+    net::upstream connections{this->io.get_executor(), config::entry_bounds{},
+                              names};
+    EXPECT_FALSE(this->run_at(connections, "/a").leaving);
+}
+
 // Guards against a request whose body arrives late, and that is sent although
 // its server has begun to leave meanwhile.
 TEST_F(attempts, that_wait_for_their_body_check_again_before_they_write)
@@ -201,7 +302,11 @@
         }
     };
     this->request.target = "/a";
-    const auto result = this->run_with(std::make_shared<slow_caller>());
+    this->step.deadline = core::boot_clock::now() + milliseconds(10000);
+    const running_attempt attempt(this->io, this->servers, this->step,
+                                  this->request,
+                                  std::make_shared<slow_caller>());
+    const auto result = this->finish(attempt);
     EXPECT_EQ(result.end, attempt_end::not_sent);
     EXPECT_TRUE(result.withheld);
     EXPECT_EQ(this->backend.requests_received(), 0U);
@@ -250,42 +355,16 @@
 TEST_F(attempts, that_may_no_longer_be_sent_write_nothing)
 {
     // The instance's share is two connections; both are in use.
-    this->step.server.connections = 2;
-    this->request.target = "/a?delay_ms=300";
-    this->step.deadline = core::boot_clock::now() + milliseconds(10000);
-    std::vector<core::attempt_result> results(3);
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    std::size_t ended = 0;
-    const auto start = [&](std::size_t index)
-    {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, index]() -> asio::awaitable<void>
-            {
-                results[index] = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{},
-                    *callers[index]);
-                ++ended;
-            },
-            asio::detached);
-    };
-    start(0);
-    start(1);
-    start(2);
-    asio::steady_timer begins_to_leave(this->io, milliseconds(100));
-    begins_to_leave.async_wait(
-        [&](boost::system::error_code)
+    this->start_attempts(3, 2, milliseconds(300));
+    this->finish_started(
+        [this]
         {
-            callers[2]->sending_allowed = false;
+            this->started[2]->caller->sending_allowed = false;
         });
-    while (ended < 3 && this->io.run_one() > 0)
-    {
-    }
-    EXPECT_EQ(results[0].end, attempt_end::answered);
-    EXPECT_EQ(results[1].end, attempt_end::answered);
-    EXPECT_EQ(results[2].end, attempt_end::not_sent);
-    EXPECT_TRUE(results[2].withheld);
+    EXPECT_EQ(this->started[0]->result->end, attempt_end::answered);
+    EXPECT_EQ(this->started[1]->result->end, attempt_end::answered);
+    EXPECT_EQ(this->started[2]->result->end, attempt_end::not_sent);
+    EXPECT_TRUE(this->started[2]->result->withheld);
     EXPECT_EQ(this->servers.counters().connections_opened, 2U);
     EXPECT_EQ(this->servers.counters().connections_reused, 0U);
     EXPECT_EQ(this->backend.requests_received(), 2U);
@@ -375,27 +454,14 @@
 TEST_F(attempts, keep_to_their_share_of_connections)
 {
     this->servers.set_max_instances(100); // 360 / 100 = 3
-    int running = 30;
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    this->request.target = "/a?delay_ms=5";
-    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
-    for (int count = 0; count < 30; ++count)
+    this->start_attempts(30, 360, milliseconds(5));
+    while (!this->all_ended() && this->io.run_one() > 0)
     {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, caller = callers.back()]() -> asio::awaitable<void>
-            {
-                const auto result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *caller);
-                EXPECT_EQ(result.end, attempt_end::answered);
-                --running;
-            },
-            asio::detached);
+        EXPECT_LE(this->servers.counters().connections_open, 3U);
     }
-    while (running > 0 && this->io.run_one() > 0)
+    for (const auto& attempt : this->started)
     {
-        EXPECT_LE(this->servers.counters().connections_open, 3U);
+        EXPECT_EQ(attempt->result->end, attempt_end::answered);
     }
     EXPECT_EQ(this->backend.connections_accepted(), 3U);
 }
@@ -405,39 +471,30 @@
 // against servers that are suspected because the instance stops.
 TEST_F(attempts, that_wait_for_a_connection_are_not_sent_when_sending_stops)
 {
-    this->step.server.connections = 2;
-    this->request.target = "/a?delay_ms=300";
-    this->step.deadline = core::boot_clock::now() + std::chrono::seconds(20);
-    std::vector<std::shared_ptr<recording_caller>> callers;
-    std::vector<attempt_end> ends;
-    std::vector<bool> withheld;
-    for (int count = 0; count < 4; ++count)
-    {
-        callers.push_back(std::make_shared<recording_caller>());
-        asio::co_spawn(
-            this->io,
-            [&, caller = callers.back()]() -> asio::awaitable<void>
-            {
-                const auto result = co_await this->servers.attempt(
-                    this->step, this->request, net::trace::context{}, *caller);
-                ends.push_back(result.end);
-                withheld.push_back(result.withheld);
-            },
-            asio::detached);
-    }
-    asio::steady_timer timer(this->io, milliseconds(100));
-    timer.async_wait(
-        [this](boost::system::error_code)
+    this->start_attempts(4, 2, milliseconds(300));
+    this->finish_started(
+        [this]
         {
             this->servers.stop_sending();
+            // Those that wait end before those that run.
+            this->io.poll();
+            EXPECT_FALSE(this->started[0]->result);
+            EXPECT_FALSE(this->started[1]->result);
+            EXPECT_TRUE(this->started[2]->result);
+            EXPECT_TRUE(this->started[3]->result);
         });
-    while (ends.size() < 4 && this->io.run_one() > 0)
+    for (const std::size_t running : {0U, 1U})
+    {
+        const core::attempt_result& result = *this->started[running]->result;
+        EXPECT_EQ(result.end, attempt_end::answered);
+        EXPECT_FALSE(result.withheld);
+    }
+    for (const std::size_t waiting : {2U, 3U})
     {
+        const core::attempt_result& result = *this->started[waiting]->result;
+        EXPECT_EQ(result.end, attempt_end::not_sent);
+        EXPECT_TRUE(result.withheld);
     }
-    EXPECT_EQ(ends,
-              (std::vector{attempt_end::not_sent, attempt_end::not_sent,
-                           attempt_end::answered, attempt_end::answered}));
-    EXPECT_EQ(withheld, (std::vector{true, true, false, false}));
     EXPECT_EQ(this->backend.journal().size(), 2U);
 }
 
