Revert "caller: answer a caller that has ended its sending side"

The change wrote an interim answer that the caller had not asked for, after a part of its requests, to find out whether it has closed its connection. A caller of HTTP/1.0, or one that checks for such answers, would take it for a fault, and where no reset comes back the servers go on working for callers that have left. Reverse proxies commonly count the end of a caller's input as the end of its request.

The tests that guard the cancellation of requests stay: cancels_the_request_of_a_caller_that_has_closed and is_gone_when_its_input_ends_inside_a_request.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -2,7 +2,6 @@
 #include <fmt/format.h>
 #include <medlarbarrow/net/caller.hpp>
 #include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace medlarbarrow::net
 {
@@ -19,10 +18,6 @@
 constexpr std::size_t max_chunk_bytes = 16384;
 constexpr std::string_view header_end = "\r\n\r\n";
 
-/// Interim answer that every client of HTTP/1.1 must skip. A caller that has
-/// closed its connection, and not only ended its input, resets it in reply.
-constexpr std::string_view probe = "HTTP/1.1 100 Continue\r\n\r\n";
-
 /// While draining, a connection stays open for this long after it was opened
 /// or last used, since its next request may already be on the way.
 constexpr seconds drain_grace{1};
@@ -116,7 +111,8 @@
 }
 
 // Keeps one read outstanding while the input buffer has room. The read also
-// detects a caller that disconnects during its request.
+// detects a caller that disconnects during its request. A half-closed
+// connection counts as disconnected, as it looks the same as a closed one.
 void caller_connection::start_read()
 {
     const std::size_t room = this->input.max_size() - this->input.size();
@@ -143,12 +139,9 @@
     if (failure)
     {
         this->read_ended = true;
-        this->disconnected |=
-            failure != asio::error::eof || this->stream.tls() != nullptr;
-        this->probe_ended_input();
-        if (this->is_gone())
+        if (const auto callback = this->on_disconnect)
         {
-            this->tell_disconnect();
+            callback();
         }
     }
     else
@@ -158,47 +151,6 @@
     this->changed.notify();
 }
 
-// After the end of the caller's input behind a whole request: finds out whether
-// the caller has closed the connection or still waits for the answer. A closed
-// connection looks the same until something is written to it. Not with TLS,
-// where the end of the input counts as the end of the connection.
-void caller_connection::probe_ended_input()
-{
-    if (!this->read_ended || !this->is_body_complete() || this->is_gone() ||
-        this->answer_started || this->probed)
-    {
-        return;
-    }
-    this->probed = true;
-    this->stream.socket().async_wait(
-        asio::socket_base::wait_error,
-        [self = this->shared_self()](error_code failure)
-        {
-            if (!failure)
-            {
-                self->disconnected = true;
-                self->tell_disconnect();
-            }
-        });
-    const ssize_t written =
-        ::send(this->stream.socket().native_handle(), probe.data(),
-               probe.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-    // Part of the probe would garble the answer that follows.
-    if (written > 0 && static_cast<std::size_t>(written) < probe.size())
-    {
-        this->reset();
-    }
-}
-
-void caller_connection::tell_disconnect()
-{
-    if (const auto callback = this->on_disconnect)
-    {
-        callback();
-    }
-    this->changed.notify();
-}
-
 std::string_view caller_connection::buffered() const
 {
     const auto bytes = this->input.cdata();
@@ -221,7 +173,6 @@
 asio::awaitable<head_status> caller_connection::read_head()
 {
     this->idle_start = core::boot_clock::now();
-    this->parser.reset();
     this->answer_started = false;
     this->answer_complete = false;
     this->status = 0;
@@ -354,7 +305,6 @@
     this->body_bytes_received += part.size();
     this->store_for_replay(part);
     this->start_read();
-    this->probe_ended_input();
     return part;
 }
 
@@ -391,14 +341,13 @@
         {
             continue;
         }
-        if (this->is_input_over() || this->reading_expired ||
+        if (this->is_gone() || this->reading_expired ||
             core::boot_clock::now() >= deadline)
         {
             co_return false;
         }
         co_await this->changed.wait_until(deadline);
     }
-    this->probe_ended_input();
     co_return true;
 }
 
@@ -430,7 +379,7 @@
         {
             continue;
         }
-        if (this->is_input_over())
+        if (this->is_gone())
         {
             co_return body_part{{}, false, true};
         }
@@ -444,17 +393,9 @@
     this->changed.notify();
 }
 
-// Input that has not been decoded yet may complete the request.
 bool caller_connection::is_gone() const
 {
-    return this->closed || this->disconnected ||
-           (this->read_ended && !this->is_body_complete() &&
-            this->input.size() == 0);
-}
-
-bool caller_connection::is_input_over() const
-{
-    return this->closed || this->disconnected || this->read_ended;
+    return this->read_ended || this->closed;
 }
 
 // Resets the connection if the operation that follows takes longer than
@@ -506,7 +447,6 @@
         this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
     this->stop_operation_timer();
-    this->disconnected |= static_cast<bool>(failure);
     co_return !failure;
 }
 
@@ -523,8 +463,7 @@
 {
     // After an answer to a partly read request, the rest of the body would be
     // parsed as the next request.
-    this->closes_after_answer |= this->draining || !this->is_body_complete() ||
-                                 (this->read_ended && this->input.size() == 0);
+    this->closes_after_answer |= this->draining || !this->is_body_complete();
     std::string text =
         fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason);
     text += head.lines;
@@ -609,7 +548,11 @@
     this->closed = true;
     error_code ignored;
     this->stream.socket().close(ignored);
-    this->tell_disconnect();
+    if (const auto callback = this->on_disconnect)
+    {
+        callback();
+    }
+    this->changed.notify();
 }
 
 void caller_connection::reset()
@@ -652,7 +595,7 @@
     }
     const core::time_point deadline = core::boot_clock::now() + linger_limit;
     std::size_t discarded = 0;
-    while (!this->read_ended && !this->closed && discarded < linger_bytes &&
+    while (!this->is_gone() && discarded < linger_bytes &&
            core::boot_clock::now() < deadline)
     {
         discarded += this->input.size();
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -203,9 +203,6 @@
                                      std::string_view part,
                                      bool last) override;
     asio::awaitable<bool> write_part(std::string_view part, bool last) override;
-    /// True when the caller cannot get an answer any more. The end of its input
-    /// behind a whole request does not count: it may still read. Whether it has
-    /// closed the connection shows later, when a write to it fails.
     bool is_gone() const override;
 
 private:
@@ -214,9 +211,6 @@
     std::shared_ptr<caller_connection> shared_self();
     void start_read();
     void on_read(boost::system::error_code failure, std::size_t count);
-    bool is_input_over() const;
-    void probe_ended_input();
-    void tell_disconnect();
     core::time_point idle_deadline() const;
     std::string_view buffered() const;
     head_status parse_head(std::size_t length);
@@ -240,9 +234,7 @@
     /// consuming from it meanwhile would move the prepared memory.
     std::vector<char> read_buffer;
     bool reading = false;
-    bool read_ended = false;   ///< end of stream or an error
-    bool disconnected = false; ///< a read or a write has failed
-    bool probed = false;       ///< by probe_ended_input()
+    bool read_ended = false; ///< end of stream or an error
     bool closed = false;
     bool draining = false;
     bool reading_expired = false;
