Wait for the stand-in's record of an answer in upstream_test

attempts_of_orders.finish_after_the_caller_disconnects failed three times in runs of the whole suite beside load. Cause, in the test: the stand-in records that it has written an answer after the bytes are sent, on its own thread, and the test read the record as soon as it had the bytes. The check is the same, with up to 5 s for it to become true.

--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,3 +1,4 @@
+#include "process.hpp"
 #include "recording_caller.hpp"
 
 #include <boost/asio/read_until.hpp>
@@ -528,5 +529,11 @@
         this->run("/a?delay_ms=200", milliseconds(20000), milliseconds(50));
     EXPECT_EQ(result.end, attempt_end::answered);
     EXPECT_TRUE(result.answer);
-    EXPECT_TRUE(this->backend.journal().at(0).finished);
+    // The server's record follows the bytes of its answer.
+    EXPECT_TRUE(tests::eventually(
+        [this]
+        {
+            return this->backend.journal().at(0).finished;
+        },
+        std::chrono::seconds(5)));
 }
