Test the share of servers with work after a short joint fault

12 of 18 servers of a service (also 6 of 18, 24 of 64) end all connections for 0.3 to 2 s and are sound afterwards, while 30 or 50 in 100 sends to the others fail for 6 s. Spans of 2 s after the fault must keep the floor.

measure_span() finds the requests of a span by binary search.

--- a/tests/placement_floor_test.cpp
+++ b/tests/placement_floor_test.cpp
@@ -68,6 +68,14 @@
     duration disturbance_pause{};
     /// Kind of the disturbance; none: different kinds.
     int outside_kind = -1;
+    /// Number of servers that end all connections at once, again and again,
+    /// and are sound between.
+    std::size_t struck = 0;
+    duration strike{};
+    duration strike_interval = 12s;
+    /// After each such fault the other servers fail a share of their requests
+    /// for this time.
+    duration aftermath = 6s;
     /// One owner for each shard, as in production; false: one for all servers.
     bool sharded = true;
     /// All instances are in the first data centre.
@@ -85,7 +93,9 @@
 {
     std::size_t spans = 0;
     std::size_t below_floor = 0; ///< whatever was not served
-    std::size_t violations = 0;  ///< while many requests were not served
+    /// While at least 5 in 100 requests were not served.
+    std::size_t below_while_failing = 0;
+    std::size_t violations = 0; ///< while many requests were not served
     double worst_share = 1.0;
     std::string worst;
     std::size_t requests = 0;
@@ -140,8 +150,14 @@
                 return period.what;
             }
         }
-        return this->is_disturbed(time, time + 1us) ? this->outside
-                                                    : fault::none;
+        for (const fault_period& period : this->disturbances)
+        {
+            if (time >= period.begin && time < period.end)
+            {
+                return period.what;
+            }
+        }
+        return fault::none;
     }
 
     /// Whether the server is sound throughout the time.
@@ -274,6 +290,7 @@
                         {time, time + length, server.outside});
                 }
             }
+            this->add_strikes(server, index);
             if (this->parameters.in_blocks)
             {
                 this->add_blocks(server, index);
@@ -287,6 +304,29 @@
         }
     }
 
+    // The first servers are struck; the others fail for a while afterwards.
+    void add_strikes(model_server& server, std::size_t index)
+    {
+        if (this->parameters.struck == 0)
+        {
+            return;
+        }
+        for (time_point time = start + 5s;
+             time < start + this->parameters.length;
+             time += this->parameters.strike_interval)
+        {
+            const time_point strike_end = time + this->parameters.strike;
+            if (index < this->parameters.struck)
+            {
+                server.disturbances.push_back({time, strike_end, fault::reset});
+                continue;
+            }
+            server.disturbances.push_back(
+                {strike_end, strike_end + this->parameters.aftermath,
+                 fault::flaky});
+        }
+    }
+
     void add_blocks(model_server& server, std::size_t index)
     {
         const auto blocks =
@@ -678,13 +718,17 @@
         }
         std::size_t requests = 0;
         std::size_t not_served = 0;
-        for (const request_end& ended : this->ends)
+        const auto is_earlier =
+            [](const request_end& ended, const time_point& time)
         {
-            if (ended.time >= begin && ended.time < end)
-            {
-                ++requests;
-                not_served += ended.served ? 0 : 1;
-            }
+            return ended.time < time;
+        };
+        for (auto ended = std::lower_bound(this->ends.begin(), this->ends.end(),
+                                           begin, is_earlier);
+             ended != this->ends.end() && ended->time < end; ++ended)
+        {
+            ++requests;
+            not_served += ended->served ? 0 : 1;
         }
         if (sound < 3 || requests < min_requests)
         {
@@ -697,6 +741,7 @@
             static_cast<double>(not_served) / static_cast<double>(requests);
         const bool is_below = with_work > 0 && share < floor_share;
         this->report.below_floor += is_below ? 1 : 0;
+        this->report.below_while_failing += is_below && failed >= 0.05 ? 1 : 0;
         this->report.violations +=
             is_below && failed > 0.1 && failed < 0.5 ? 1 : 0;
         if (share < this->report.worst_share)
@@ -736,6 +781,7 @@
         const floor_report report = floor_model(played).run();
         sum.spans += report.spans;
         sum.below_floor += report.below_floor;
+        sum.below_while_failing += report.below_while_failing;
         sum.violations += report.violations;
         sum.requests += report.requests;
         sum.not_served += report.not_served;
@@ -759,12 +805,14 @@
                                          static_cast<double>(report.requests));
     };
     return fmt::format(
-        "of {} spans {} below the floor, {} of them while many requests were "
-        "not served; worst: {}; in 100 requests: {} not served, {} of them not "
+        "of {} spans {} below the floor, {} of them while some and {} while "
+        "many requests were not served; worst: {}; in 100 requests: {} not "
+        "served, {} of them not "
         "repeatable, {} late; {} requests, {} sends",
-        report.spans, report.below_floor, report.violations, report.worst,
-        percent(report.not_served), percent(report.unsafe_not_served),
-        percent(report.late), report.requests, report.sends);
+        report.spans, report.below_floor, report.below_while_failing,
+        report.violations, report.worst, percent(report.not_served),
+        percent(report.unsafe_not_served), percent(report.late),
+        report.requests, report.sends);
 }
 
 // The load that the users' sites have, with servers that fail in blocks and
@@ -876,6 +924,68 @@
     const floor_report report = play(played);
     EXPECT_EQ(report.violations, 0U) << describe(report);
 }
+
+// A service of which several servers end all connections at once for a short
+// time, while the others then fail for some seconds.
+scenario struck_service(std::size_t servers,
+                        std::size_t struck,
+                        duration strike,
+                        double failures)
+{
+    scenario played;
+    played.servers = servers;
+    played.requests_per_second = 7.0 * static_cast<double>(servers);
+    played.failing = 0.0;
+    played.disturbed = 0.0;
+    played.disturbed_failures = failures;
+    played.struck = struck;
+    played.strike = strike;
+    played.length = 41s;
+    return played;
+}
+
+// Guards against servers that recover together after a short fault and stay
+// without work until their suspicion has decayed, while the others are
+// overloaded and fail.
+TEST(a_service_after_a_short_fault_of_many_servers, gives_them_work_soon)
+{
+    struct hit
+    {
+        std::size_t servers;
+        std::size_t struck;
+    };
+    for (const hit& affected : {hit{18, 12}, hit{18, 6}, hit{64, 24}})
+    {
+        for (const duration strike :
+             std::initializer_list<duration>{300ms, 500ms, 800ms, 2s})
+        {
+            for (const double failures : {0.3, 0.5})
+            {
+                for (const bool repeatable : {true, false})
+                {
+                    scenario played = struck_service(
+                        affected.servers, affected.struck, strike, failures);
+                    if (!repeatable)
+                    {
+                        played.kinds = {order};
+                        played.kinds.front().share = 1.0;
+                    }
+                    const floor_report report = play(played);
+                    const std::string label = fmt::format(
+                        "{} of {} servers for {} ms, then {} of the sends to "
+                        "the others fail, {}: ",
+                        affected.struck, affected.servers, strike / 1ms,
+                        failures, repeatable ? "mixed work" : "orders");
+                    EXPECT_EQ(report.violations, 0U)
+                        << label << describe(report);
+                    EXPECT_LE(report.below_while_failing, report.spans / 200)
+                        << label << describe(report);
+                }
+            }
+        }
+    }
+}
+
 /// An owner of servers that run requests of one instance.
 class an_owner_with_failing_sends : public testing::Test
 {
@@ -1019,6 +1129,28 @@
     EXPECT_GE(this->owner.spread(this->now).with_work, 18U);
 }
 
+// Guards against trials that cost many requests while the servers that have
+// failed together keep failing.
+TEST_F(an_owner_with_failing_sends, tries_servers_that_keep_failing_rarely)
+{
+    for (std::size_t index = 0; index < 6; ++index)
+    {
+        this->failing.insert("s" + std::to_string(index));
+    }
+    this->lose_requests_of(this->failing);
+    this->other_failures = true;
+    const auto counts = this->run_for(10s, 0.5);
+    std::size_t lost = 0;
+    for (const std::string& server : this->failing)
+    {
+        const auto count = counts.find(server);
+        lost += count == counts.end() ? 0 : count->second;
+    }
+    // Each server is tried once in 1.7 s.
+    EXPECT_LE(lost, 6U * 6U);
+    EXPECT_GE(lost, 6U);
+}
+
 // Guards against unrepeatable requests that are lost at suspected servers,
 // although repeatable ones could have been sent there.
 TEST_F(an_owner_with_failing_sends,
