Try servers again soon that have failed together

Cause: after a fault of many servers at once, each suspected server was due for work only 2.5 s after its last failure, and only once more than a tenth of the servers had been without work for 2 s. Requests that may not be repeated went only to the suspected servers that the floor share needs.

Change: servers that become suspected within 1 s of each other, at least a quarter of a shard and three, have failed together. Requests that may not be repeated serve as trials only in a shard without others.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -56,6 +56,12 @@
 constexpr milliseconds min_failure_age{1000};
 constexpr milliseconds min_failure_age_if_suspected{2500};
 
+/// Servers have failed together if at least this share of all servers, and this
+/// number of them, became suspected within such a time.
+constexpr double joint_failure_share = 0.25;
+constexpr std::size_t min_joint_failures = 3;
+constexpr milliseconds joint_failure_time{1000};
+
 /// The part of the servers above the floor share that may stay without work
 /// while sends fail. The floor counts only servers that work, which are not
 /// known here, so that the share of all servers in use has to be higher.
@@ -203,6 +209,7 @@
     server.suspicion_updated = now;
     server.suspected =
         server.suspected && server.suspicion >= suspicion_threshold / 2;
+    server.failed_together = server.failed_together && server.suspected;
 }
 
 void placement::raise_suspicion(const std::string& name,
@@ -225,6 +232,9 @@
     if (!server.suspected && server.suspicion >= suspicion_threshold)
     {
         server.suspected = true;
+        server.suspected_at = now;
+        server.failed_trials = 0;
+        this->find_joint_failure(now);
         this->events.push_back({name, "suspected", reason, server.suspicion});
     }
 }
@@ -240,6 +250,7 @@
     if (server.suspected && server.suspicion < suspicion_threshold / 2)
     {
         server.suspected = false;
+        server.failed_together = false;
         this->events.push_back({server.announced.server.name, "trusted",
                                 "answers", server.suspicion});
     }
@@ -607,6 +618,10 @@
 placement::server_state* placement::server_due_for_work(
     const place_request& request, const overview& servers_now, time_point now)
 {
+    if (!this->is_short_of_work(now))
+    {
+        return nullptr;
+    }
     server_state* longest_idle = nullptr;
     for (auto& [name, server] : this->servers)
     {
@@ -621,6 +636,97 @@
     return longest_idle;
 }
 
+// Marks the servers that have become suspected lately if they are many. Their
+// trials keep their pace if others still wait for theirs.
+void placement::find_joint_failure(time_point now)
+{
+    std::vector<server_state*> failed;
+    bool are_trials_running = false;
+    for (auto& [name, server] : this->servers)
+    {
+        are_trials_running = are_trials_running || server.failed_together;
+        if (server.suspected && now - server.suspected_at < joint_failure_time)
+        {
+            failed.push_back(&server);
+        }
+    }
+    if (failed.size() < min_joint_failures ||
+        static_cast<double>(failed.size()) <
+            joint_failure_share * static_cast<double>(this->servers.size()))
+    {
+        return;
+    }
+    if (!are_trials_running)
+    {
+        this->trials.restart(now);
+    }
+    for (server_state* server : failed)
+    {
+        server->failed_together = true;
+    }
+}
+
+// Whether the request may show that a server that has failed together with
+// others works again. Requests that may not be repeated serve only if the shard
+// has no others.
+bool placement::is_due_for_trial(const server_state& server,
+                                 const place_request& request,
+                                 const overview& servers_now,
+                                 time_point now) const
+{
+    return server.failed_together && server.running == 0 &&
+           (request.repeatable || !servers_now.has_repeatable_work) &&
+           now - server.last_failure >= trial_delay(server.failed_trials);
+}
+
+// Returns the server that has been without work longest among those that are
+// due for a trial, or nullptr.
+placement::server_state* placement::server_due_for_trial(
+    const place_request& request, const overview& servers_now, time_point now)
+{
+    if (!this->trials.is_due(now) || !this->needs_spread(now))
+    {
+        return nullptr;
+    }
+    server_state* longest_idle = nullptr;
+    for (auto& [name, server] : this->servers)
+    {
+        if (this->is_due_for_trial(server, request, servers_now, now) &&
+            !this->is_closed_to(server, request, now) &&
+            (longest_idle == nullptr ||
+             server.last_work < longest_idle->last_work))
+        {
+            longest_idle = &server;
+        }
+    }
+    return longest_idle;
+}
+
+// Records the end of a trial. Other requests to the server, which are many
+// while it counts towards the floor share, don't extend its delay.
+void placement::count_trial(const active_grant& ended, bool succeeded)
+{
+    const auto server = this->servers.find(ended.server);
+    if (!ended.trial || server == this->servers.end())
+    {
+        return;
+    }
+    std::uint32_t& failed_trials = server->second.failed_trials;
+    failed_trials = succeeded ? 0 : failed_trials + 1;
+    this->trials.on_ended(succeeded);
+}
+
+// Grants a server that has failed together with others a trial request.
+place_answer placement::try_again(const place_request& request,
+                                  server_state& server,
+                                  time_point now)
+{
+    this->trials.on_started(now);
+    place_answer answer = this->grant(request, server, now);
+    this->grants[request.grant].trial = true;
+    return answer;
+}
+
 // Takes a slot of the server for the request. On a server that is warming up,
 // the request becomes overdue only after twice the usual time.
 place_answer placement::grant(const place_request& request,
@@ -734,9 +840,14 @@
     {
         return this->grant(request, *server, now);
     }
-    if (!request.repeat && this->is_short_of_work(now))
+    if (!request.repeat && this->needs_spread(now))
     {
         const overview servers_now = this->make_overview(now);
+        if (server_state* server =
+                this->server_due_for_trial(request, servers_now, now))
+        {
+            return this->try_again(request, *server, now);
+        }
         if (server_state* server =
                 this->server_due_for_work(request, servers_now, now))
         {
@@ -814,7 +925,9 @@
     // An overdue send has been counted when it became overdue.
     if (outcome != send_outcome::cancelled && !ended.overdue)
     {
-        this->count_result(outcome != send_outcome::succeeded, now);
+        const bool succeeded = outcome == send_outcome::succeeded;
+        this->count_result(!succeeded, now);
+        this->count_trial(ended, succeeded);
     }
     switch (outcome)
     {
@@ -891,6 +1004,7 @@
         {
             active.overdue = true;
             this->count_result(true, now);
+            this->count_trial(active, false);
             this->raise_suspicion(active.server, overdue_suspicion,
                                   "answer overdue", now);
         }
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -13,6 +13,7 @@
 #include <medlarbarrow/core/result_codes.hpp>
 #include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/core/server_statement.hpp>
+#include <medlarbarrow/core/trial_pace.hpp>
 #include <optional>
 #include <random>
 #include <string>
@@ -130,7 +131,9 @@
 /// too few servers are trusted: the floor share of the servers stays eligible,
 /// the least suspected ones first. While sends fail, a server that has been
 /// without work gets the next request that suits, so that a server that works
-/// again is not left idle until its suspicion has decayed.
+/// again is not left idle until its suspicion has decayed. Servers that become
+/// suspected at the same time are taken for victims of one fault, which may be
+/// short: while sends fail, they get trial requests at a common pace.
 class placement
 {
 public:
@@ -212,6 +215,10 @@
         time_point last_work{};
         bool has_had_work = false;
         bool suspected = false;
+        time_point suspected_at{}; ///< when it last became suspected
+        /// Suspected, and became so at the same time as many others.
+        bool failed_together = false;
+        std::uint32_t failed_trials = 0; ///< in a row
         std::map<std::uint64_t, time_point> last_send_by_instance;
     };
 
@@ -224,6 +231,7 @@
         time_point overdue_at{};
         time_point expires_at{}; ///< then counts as cancelled
         bool overdue = false;    ///< it has raised its server's suspicion
+        bool trial = false;      ///< of a server that failed with others
     };
 
     struct queued_request
@@ -320,8 +328,20 @@
                          const place_request& request,
                          const overview& servers_now,
                          time_point now) const;
+    void find_joint_failure(time_point now);
+    bool is_due_for_trial(const server_state& server,
+                          const place_request& request,
+                          const overview& servers_now,
+                          time_point now) const;
+    server_state* server_due_for_trial(const place_request& request,
+                                       const overview& servers_now,
+                                       time_point now);
+    void count_trial(const active_grant& ended, bool succeeded);
     place_answer
     grant(const place_request& request, server_state& server, time_point now);
+    place_answer try_again(const place_request& request,
+                           server_state& server,
+                           time_point now);
     place_refused make_refusal(result_code code, time_point now) const;
     duration expected_wait(std::uint32_t rank, time_point now) const;
     void check_active_grants(time_point now);
@@ -331,6 +351,7 @@
     repeat_budget repeats;
     double floor_share = default_floor_share;
     std::deque<recent_counts> recent; ///< newest last
+    trial_pace trials;
     std::mt19937_64 random;
     std::map<std::string, server_state> servers;
     std::map<grant_id, active_grant> grants;
