Place a request at once past one that cannot run

Cause: a request that arrived while others waited always joined the queue, also if the waiting ones must not use the free server, and so waited for the next tick, up to 25 ms.

Change: an arriving request takes a free server unless a waiting request that goes before it in the order of urgency may use that server.

On the unfixed code both new tests of placement_test fail: "places_a_request past_one_that_cannot_run" gets no server instead of s0, and "keeps_the_order_of_urgency" queues an urgent request behind a less urgent one.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <medlarbarrow/core/placement.hpp>
 #include <tuple>
 
@@ -508,7 +507,8 @@
     {
         if (server.running >= this->request_limit(server, waited_long, now) ||
             !this->is_eligible(server, servers_now, waited_long) ||
-            this->is_closed_to(server, request, now))
+            this->is_closed_to(server, request, now) ||
+            this->is_awaited(server, servers_now, now))
         {
             continue;
         }
@@ -854,15 +854,11 @@
             return this->grant(request, *server, now);
         }
     }
-    // Waiting requests go first.
-    if (this->queue.empty())
+    const queued_request arrived{request, now, now + request.time_to_objective,
+                                 now + request.time_to_deadline};
+    if (server_state* server = this->choose_past_queue(arrived, now))
     {
-        const overview servers_now = this->make_overview(now);
-        if (server_state* server =
-                this->choose_server(request, false, servers_now, now))
-        {
-            return this->grant(request, *server, now);
-        }
+        return this->grant(request, *server, now);
     }
     const duration wait = this->expected_wait(request.rank, now);
     if (wait + this->typical_duration(request) >
@@ -870,8 +866,7 @@
     {
         return this->make_refusal(result_code::deadline_unreachable, now);
     }
-    this->queue.push_back({request, now, now + request.time_to_objective,
-                           now + request.time_to_deadline});
+    this->queue.push_back(arrived);
     return queued{};
 }
 
@@ -1022,23 +1017,59 @@
 // Requests that can no longer be answered within their objective go last.
 // Within each of the two groups the most urgent rank goes first, then the
 // earliest objective.
-void placement::sort_queue(time_point now)
+bool placement::goes_before(const queued_request& left,
+                            const queued_request& right,
+                            time_point now) const
 {
-    const auto misses_objective = [this, now](const queued_request& waiting)
+    const auto place_in_order = [this, now](const queued_request& waiting)
     {
-        return waiting.objective_at <
-               now + this->typical_duration(waiting.request);
+        const bool misses_objective =
+            waiting.objective_at <
+            now + this->typical_duration(waiting.request);
+        return std::tuple(misses_objective, waiting.request.rank,
+                          waiting.objective_at);
     };
-    const auto first_late = std::stable_partition(
-        this->queue.begin(), this->queue.end(), std::not_fn(misses_objective));
-    const auto is_more_urgent =
-        [](const queued_request& left, const queued_request& right)
+    return place_in_order(left) < place_in_order(right);
+}
+
+void placement::sort_queue(time_point now)
+{
+    std::stable_sort(
+        this->queue.begin(), this->queue.end(),
+        [this, now](const queued_request& left, const queued_request& right)
+        {
+            return this->goes_before(left, right, now);
+        });
+}
+
+// Whether a request that goes before the one that is being placed may use the
+// server.
+bool placement::is_awaited(const server_state& server,
+                           const overview& servers_now,
+                           time_point now) const
+{
+    return std::any_of(servers_now.ahead.begin(), servers_now.ahead.end(),
+                       [&](const place_request* waiting)
+                       {
+                           return !this->is_closed_to(server, *waiting, now);
+                       });
+}
+
+// Chooses a server for a request that has just arrived. It leaves the servers
+// to the waiting requests that go before it and may use them, but does not wait
+// behind requests that may not.
+placement::server_state*
+placement::choose_past_queue(const queued_request& arrived, time_point now)
+{
+    overview servers_now = this->make_overview(now);
+    for (const queued_request& waiting : this->queue)
     {
-        return std::tie(left.request.rank, left.objective_at) <
-               std::tie(right.request.rank, right.objective_at);
-    };
-    std::stable_sort(this->queue.begin(), first_late, is_more_urgent);
-    std::stable_sort(first_late, this->queue.end(), is_more_urgent);
+        if (!this->goes_before(arrived, waiting, now))
+        {
+            servers_now.ahead.push_back(&waiting.request);
+        }
+    }
+    return this->choose_server(arrived.request, false, servers_now, now);
 }
 
 std::vector<deferred_answer> placement::tick(time_point now)
