Give waiting requests to servers that are due for work

Cause: only arriving requests went to servers due for work or a trial; tick() chose among the eligible servers alone, so that a request waited for a full server beside an idle one.

Change: tick() asks place_on_idle_server() first, as decide() does.

On the unfixed code the new test "gives_waiting_requests_to_servers_due" fails: tick() returns 0 answers instead of 1.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -727,6 +727,28 @@
     return answer;
 }
 
+// While sends fail, places the request on a server that is due for a trial or
+// for work.
+std::optional<place_answer> placement::place_on_idle_server(
+    const place_request& request, const overview& servers_now, time_point now)
+{
+    if (request.repeat)
+    {
+        return std::nullopt;
+    }
+    if (server_state* server =
+            this->server_due_for_trial(request, servers_now, now))
+    {
+        return this->try_again(request, *server, now);
+    }
+    if (server_state* server =
+            this->server_due_for_work(request, servers_now, now))
+    {
+        return this->grant(request, *server, now);
+    }
+    return std::nullopt;
+}
+
 // Takes a slot of the server for the request. On a server that is warming up,
 // the request becomes overdue only after twice the usual time.
 place_answer placement::grant(const place_request& request,
@@ -840,19 +862,10 @@
     {
         return this->grant(request, *server, now);
     }
-    if (!request.repeat && this->needs_spread(now))
+    if (const auto placed =
+            this->place_on_idle_server(request, this->make_overview(now), now))
     {
-        const overview servers_now = this->make_overview(now);
-        if (server_state* server =
-                this->server_due_for_trial(request, servers_now, now))
-        {
-            return this->try_again(request, *server, now);
-        }
-        if (server_state* server =
-                this->server_due_for_work(request, servers_now, now))
-        {
-            return this->grant(request, *server, now);
-        }
+        return *placed;
     }
     const queued_request arrived{request, now, now + request.time_to_objective,
                                  now + request.time_to_deadline};
@@ -1106,6 +1119,13 @@
             answers.push_back({request.grant, *refusal});
             continue;
         }
+        if (const auto placed =
+                this->place_on_idle_server(request, servers_now, now))
+        {
+            answers.push_back({request.grant, *placed});
+            this->count_free_places(servers_now, now);
+            continue;
+        }
         if (server_state* server =
                 this->choose_server(request, waited_long, servers_now, now))
         {
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -338,6 +338,10 @@
     server_state* server_due_for_trial(const place_request& request,
                                        const overview& servers_now,
                                        time_point now);
+    std::optional<place_answer>
+    place_on_idle_server(const place_request& request,
+                         const overview& servers_now,
+                         time_point now);
     void count_trial(const active_grant& ended, bool succeeded);
     place_answer
     grant(const place_request& request, server_state& server, time_point now);
--- a/tests/placement_floor_test.cpp
+++ b/tests/placement_floor_test.cpp
@@ -1129,6 +1129,30 @@
     EXPECT_GE(this->owner.spread(this->now).with_work, 18U);
 }
 
+// Guards against requests that wait for a full server while another one, whose
+// fault is over, is due for work.
+TEST_F(an_owner_with_failing_sends, gives_waiting_requests_to_servers_due)
+{
+    this->lose_requests_of(recovered);
+    this->other_failures = true;
+    this->run_for(2450ms, 0.5);
+    core::place_answer answer = core::queued{};
+    core::place_request asked;
+    do
+    {
+        asked = this->request(true);
+        asked.time_to_objective = 800ms;
+        answer = this->owner.request(asked, this->now);
+    } while (std::holds_alternative<core::placed>(answer));
+    ASSERT_TRUE(std::holds_alternative<core::queued>(answer));
+    this->now += 60ms;
+    const auto answers = this->owner.tick(this->now);
+    ASSERT_EQ(answers.size(), 1U);
+    const auto* placed = std::get_if<core::placed>(&answers.front().answer);
+    ASSERT_NE(placed, nullptr);
+    EXPECT_TRUE(recovered.contains(placed->server)) << placed->server;
+}
+
 // Guards against trials that cost many requests while the servers that have
 // failed together keep failing.
 TEST_F(an_owner_with_failing_sends, tries_servers_that_keep_failing_rarely)
