Try a blocked request again after a minute

Cause: a request digest that had crashed three servers stayed blocked until one of its requests succeeded, which none could any more. Crashes counted however old they were.

Change: 60 s after the last crash or trial one request of the digest is placed; its grant blocks the others again, its crash too, its success lifts the block. Crashes of other owners renew the block, so that several owners don't each lose a server. Crashes older than 300 s don't count. Requests that wait while their digest becomes blocked are refused.

On the unfixed code the new tests "is_tried_once_after_a_while", "is_free_after_a_success", "is_tried_once_if_many_wait" and "forgets_old_crashes" of placement_test fail: no request is placed.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -110,10 +110,14 @@
 
 /// Number of different servers that a request must crash before it is blocked.
 constexpr std::size_t crash_limit = 3;
+/// Time after its last crash or trial in which a request stays blocked. Then
+/// one is tried again, since only a success lifts the block for good.
+constexpr seconds crash_block_time{60};
+/// Age from which crashes no longer count.
+constexpr seconds crash_record_lifetime{300};
 /// From this number of crash records on, those whose last crash is older than
-/// `crash_record_lifetime` are dropped.
+/// `crash_block_time` are dropped.
 constexpr std::size_t max_crash_records = 1024;
-constexpr seconds crash_record_lifetime{60};
 
 constexpr milliseconds min_retry_after{100};
 
@@ -774,6 +778,11 @@
     {
         this->repeats.count_repeat(now);
     }
+    const auto crash = this->crashes.find(request.content_digest);
+    if (crash != this->crashes.end())
+    {
+        crash->second.last_trial = now;
+    }
     placed answer{active.server, this->typical_duration(request), overdue};
     this->grants[request.grant] = std::move(active);
     return answer;
@@ -808,12 +817,15 @@
 }
 
 // Whether requests of this digest have crashed so many servers that they are
-// blocked.
-bool placement::is_crashing(std::uint64_t content) const
+// blocked. The block ends after a while for one request, whose grant renews it.
+bool placement::is_crashing(std::uint64_t content, time_point now) const
 {
     const auto record = this->crashes.find(content);
     return record != this->crashes.end() &&
-           record->second.servers.size() >= crash_limit;
+           record->second.servers.size() >= crash_limit &&
+           now - std::max(record->second.last_crash,
+                          record->second.last_trial) <
+               crash_block_time;
 }
 
 place_answer placement::request(const place_request& request, time_point now)
@@ -842,7 +854,7 @@
 // Decides about a request that is neither running nor waiting.
 place_answer placement::decide(const place_request& request, time_point now)
 {
-    if (this->is_crashing(request.content_digest))
+    if (this->is_crashing(request.content_digest, now))
     {
         return place_refused{result_code::request_blocked, {}};
     }
@@ -897,10 +909,14 @@
                       [now](const auto& entry)
                       {
                           return now - entry.second.last_crash >
-                                 crash_record_lifetime;
+                                 crash_block_time;
                       });
     }
     crash_record& record = this->crashes[crash.content_digest];
+    if (now - record.last_crash > crash_record_lifetime)
+    {
+        record.servers.clear();
+    }
     record.last_crash = now;
     if (!contains_name(record.servers, crash.server))
     {
@@ -1114,6 +1130,13 @@
                  this->make_refusal(result_code::deadline_unreachable, now)});
             continue;
         }
+        if (this->is_crashing(request.content_digest, now))
+        {
+            answers.push_back(
+                {request.grant,
+                 place_refused{result_code::request_blocked, {}}});
+            continue;
+        }
         if (const auto refusal = this->refusal_if_turned_away(request, now))
         {
             answers.push_back({request.grant, *refusal});
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -271,6 +271,7 @@
     {
         std::vector<std::string> servers; ///< distinct, since the last success
         time_point last_crash{};
+        time_point last_trial{}; ///< last grant to a request of the digest
     };
 
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
@@ -351,7 +352,7 @@
     place_refused make_refusal(result_code code, time_point now) const;
     duration expected_wait(std::uint32_t rank, time_point now) const;
     void check_active_grants(time_point now);
-    bool is_crashing(std::uint64_t content) const;
+    bool is_crashing(std::uint64_t content, time_point now) const;
     bool goes_before(const queued_request& left,
                      const queued_request& right,
                      time_point now) const;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -609,6 +609,118 @@
     EXPECT_NE(this->place(other), "");
 }
 
+/// A request whose digest is blocked, since it has crashed three servers.
+class a_blocked_request : public a_service_owner
+{
+protected:
+    void SetUp() override
+    {
+        this->set_server_count(6);
+        for (int index = 0; index < 3; ++index)
+        {
+            this->crash(this->request_of(99));
+        }
+        ASSERT_EQ(this->place(this->request_of(99)), "");
+    }
+
+    core::place_request request_of(std::uint64_t digest)
+    {
+        auto request = this->request();
+        request.content_digest = digest;
+        return request;
+    }
+
+    /// Places a request whose server then ends its connection.
+    void crash(const core::place_request& request)
+    {
+        ASSERT_NE(this->place(request), "");
+        this->now += 50ms;
+        this->finish(request, core::send_outcome::connection_lost);
+    }
+};
+
+// Guards against a digest that stays blocked for ever, since only a success
+// lifts the block, and against several servers that are lost when it is tried
+// again.
+TEST_F(a_blocked_request, is_tried_once_after_a_while)
+{
+    this->now += 61s;
+    const auto trial = this->request_of(99);
+    EXPECT_NE(this->place(trial), "");
+    EXPECT_EQ(this->place(this->request_of(99)), "");
+    this->now += 50ms;
+    this->finish(trial, core::send_outcome::connection_lost);
+    EXPECT_EQ(this->place(this->request_of(99)), "");
+    this->now += 59s;
+    EXPECT_EQ(this->place(this->request_of(99)), "");
+    this->now += 2s;
+    this->crash(this->request_of(99));
+    EXPECT_EQ(this->place(this->request_of(99)), "");
+}
+
+// Guards against a block that outlasts the request's success.
+TEST_F(a_blocked_request, is_free_after_a_success)
+{
+    this->now += 61s;
+    const auto trial = this->request_of(99);
+    EXPECT_NE(this->place(trial), "");
+    this->now += 50ms;
+    this->finish(trial, core::send_outcome::succeeded);
+    EXPECT_NE(this->place(this->request_of(99)), "");
+    EXPECT_NE(this->place(this->request_of(99)), "");
+}
+
+// Guards against a trial at the same time as another owner's, which has crashed
+// a server.
+TEST_F(a_blocked_request, stays_blocked_after_a_crash_elsewhere)
+{
+    this->now += 61s;
+    this->owner.record_crash({99, "elsewhere"}, this->now);
+    EXPECT_EQ(this->place(this->request_of(99)), "");
+}
+
+// Guards against several requests of a blocked digest that wait together and
+// are all placed.
+TEST_F(a_blocked_request, is_tried_once_if_many_wait)
+{
+    this->now += 61s;
+    std::vector<core::place_request> running;
+    do
+    {
+        running.push_back(this->request());
+    } while (!this->place(running.back()).empty());
+    this->owner.cancel(running.back().grant, this->now);
+    running.pop_back();
+    this->place(this->request_of(99));
+    this->place(this->request_of(99));
+    ASSERT_EQ(this->owner.waiting(), 2U);
+    for (const core::place_request& ended : running)
+    {
+        this->finish(ended, core::send_outcome::succeeded);
+    }
+    const auto answers = this->owner.tick(this->now);
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<core::placed>(answers[0].answer));
+    const auto* refused = std::get_if<core::place_refused>(&answers[1].answer);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->code, core::result_code::request_blocked);
+}
+
+// Guards against crashes of long ago that block a request together with a new
+// one.
+TEST_F(a_service_owner, forgets_old_crashes)
+{
+    this->set_server_count(6);
+    for (int index = 0; index < 6; ++index)
+    {
+        auto request = this->request();
+        request.content_digest = 99;
+        EXPECT_NE(this->place(request), "");
+        this->finish(request, core::send_outcome::connection_lost);
+        this->now += 301s;
+    }
+}
+
 // Guards against using all slots of a server that has just started.
 TEST_F(a_service_owner, uses_fewer_slots_of_a_server_that_warms_up)
 {
