--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <medlarbarrow/core/placement.hpp>
+#include <medlarbarrow/core/placement_common.hpp>
 #include <tuple>
 
 namespace medlarbarrow::core
@@ -11,12 +12,10 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using real_seconds = std::chrono::duration<double>;
 
 /// A server is suspected, and mostly gets only probes, from this suspicion on
 /// until its suspicion falls below half of it.
 constexpr double suspicion_threshold = 1.0;
-constexpr double max_suspicion = 3.0;
 constexpr real_seconds suspicion_half_life{2.0};
 
 /// Suspicion that each outcome of a send adds.
@@ -33,68 +32,15 @@
 /// Shortest time between two probes of a suspected server.
 constexpr milliseconds probe_interval{600};
 
-/// Requests, failures and servers in use are counted over this time, in periods
-/// of `count_period`.
-constexpr seconds spread_time{2};
-constexpr milliseconds count_period{100};
-
-/// Sends count as failing from this share of failures on. It is below the tenth
-/// from which the floor share is demanded, because each shard sees only a part
-/// of the failures of its service.
-constexpr double min_failure_share = 0.07;
-
-/// While sends fail, a server that has been without work for such a time is due
-/// for work. Each time leaves the rest of `spread_time` for a request that
-/// suits. Unrepeatable requests come later, because a failure of theirs cannot
-/// be made good.
-constexpr milliseconds idle_before_work{1200};
-constexpr milliseconds idle_before_unrepeatable_work{1700};
-/// Time since its last failure after which a server is due. A suspected server
-/// waits longer: faults last some seconds, so that an earlier request would
-/// often be lost.
-constexpr milliseconds min_failure_age{1000};
-constexpr milliseconds min_failure_age_if_suspected{2500};
-
-/// Servers have failed together if at least this share of all servers, and this
-/// number of them, became suspected within such a time.
-constexpr double joint_failure_share = 0.25;
-constexpr std::size_t min_joint_failures = 3;
-constexpr milliseconds joint_failure_time{1000};
-
-/// The part of the servers above the floor share that may stay without work
-/// while sends fail. The floor counts only servers that work, which are not
-/// known here, so that the share of all servers in use has to be higher.
-constexpr double idle_part_above_floor = 1.0 / 3;
-
 /// Share of its slots that a server uses while it warms up.
 constexpr double warm_up_capacity_share = 0.67;
 
-/// Terms of a server's cost, in units of the load of a full server.
-constexpr double remote_data_centre_cost = 0.35;
-constexpr double open_connection_gain = 0.15;
-constexpr double suspicion_cost = 0.4; ///< per unit of suspicion
-constexpr double max_random_cost = 0.05;
-/// Added while a server runs a request that takes longer than its kind of work
-/// usually does: the server may have begun to hang.
-constexpr double slow_request_cost = 0.6;
+/// A request that runs longer than this is slow.
 constexpr double slow_request_ratio = 1.3; ///< times the typical duration
-/// A server without a success for `stale_success_age` costs more for requests
-/// that may be sent only once. It costs less for repeatable requests, whose
-/// success shows that the server works. Both effects grow linearly up to that
-/// age.
-constexpr double stale_success_cost = 0.3;
-constexpr double stale_success_gain = 0.1;
-constexpr real_seconds stale_success_age{2.0};
-
-/// Time since an instance's last send to a server in which its idle connection
-/// counts as open.
-constexpr seconds open_connection_age{8};
 
 /// A request that has spent this share of its objective in the queue may run
 /// on a server beyond its slots.
 constexpr double long_wait_share = 0.35;
-constexpr std::uint32_t long_wait_extra_slots = 1;
-
 /// Time after a request's deadline at which its grant expires, if the entry
 /// instance has not reported the end of the send.
 constexpr milliseconds grant_expiry_margin{300};
@@ -125,28 +71,6 @@
 /// fleet; further ones keep to their holds themselves.
 constexpr std::size_t max_held_instances = 2048;
 
-double in_seconds(duration value)
-{
-    return std::chrono::duration_cast<real_seconds>(value).count();
-}
-
-duration from_seconds(double value)
-{
-    return std::chrono::duration_cast<duration>(real_seconds(value));
-}
-
-bool too_many_fail(std::size_t failures, std::size_t results)
-{
-    return failures > 0 && static_cast<double>(failures) >=
-                               min_failure_share * static_cast<double>(results);
-}
-
-bool contains_name(const std::vector<std::string>& names,
-                   const std::string& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 } // namespace
 
 placement::placement(retry_limits configured_limits, std::uint64_t seed)
@@ -314,116 +238,6 @@
     return slowness;
 }
 
-// The server of lowest cost gets the request. The cost rises with the server's
-// load, distance and suspicion and with a slow running request.
-double placement::cost_of(const server_state& server,
-                          const place_request& request,
-                          double slowness,
-                          time_point now) const
-{
-    double cost =
-        static_cast<double>(server.running) / this->capacity_of(server, now);
-    if (server.announced.server.data_centre != request.data_centre)
-    {
-        cost += remote_data_centre_cost;
-    }
-    cost += suspicion_cost * server.suspicion;
-    cost += server.suspected ? max_suspicion : 0.0;
-    cost += slow_request_cost * slowness;
-    const auto last_send =
-        server.last_send_by_instance.find(request.grant.instance);
-    if (last_send != server.last_send_by_instance.end() &&
-        now - last_send->second < open_connection_age)
-    {
-        cost -= open_connection_gain;
-    }
-    const double staleness = std::min(
-        in_seconds(now - server.last_success) / stale_success_age.count(), 1.0);
-    cost += request.repeatable ? -stale_success_gain * staleness
-                               : stale_success_cost * staleness;
-    return cost;
-}
-
-// Suspicion up to which suspected servers are eligible, so that the floor share
-// of all servers is: the least suspected ones stay in use. 0 if enough servers
-// are trusted.
-double placement::eligible_suspicion() const
-{
-    std::vector<double> suspicions;
-    for (const auto& [name, server] : this->servers)
-    {
-        if (server.suspected)
-        {
-            suspicions.push_back(server.suspicion);
-        }
-    }
-    const auto needed = static_cast<std::size_t>(std::ceil(
-        this->floor_share * static_cast<double>(this->servers.size())));
-    const std::size_t trusted = this->servers.size() - suspicions.size();
-    if (trusted >= needed)
-    {
-        return 0.0;
-    }
-    const auto last =
-        suspicions.begin() + static_cast<std::ptrdiff_t>(needed - trusted) - 1;
-    std::nth_element(suspicions.begin(), last, suspicions.end());
-    return *last;
-}
-
-bool placement::is_eligible(const server_state& server,
-                            const overview& servers_now,
-                            bool waited_long) const
-{
-    return !server.suspected || waited_long ||
-           server.suspicion <= servers_now.eligible_suspicion;
-}
-
-// Requests that the server may run at once. A request that has waited long also
-// takes a place beyond the slots of a trusted server.
-std::uint32_t placement::request_limit(const server_state& server,
-                                       bool waited_long,
-                                       time_point now) const
-{
-    return this->capacity_of(server, now) +
-           (waited_long && !server.suspected ? long_wait_extra_slots : 0);
-}
-
-void placement::count_free_places(overview& servers_now, time_point now) const
-{
-    servers_now.free_places = 0;
-    servers_now.free_places_after_long_wait = 0;
-    for (const auto& [name, server] : this->servers)
-    {
-        for (const bool waited_long : {false, true})
-        {
-            const std::uint32_t limit =
-                this->request_limit(server, waited_long, now);
-            if (server.running < limit &&
-                this->is_eligible(server, servers_now, waited_long))
-            {
-                (waited_long ? servers_now.free_places_after_long_wait
-                             : servers_now.free_places) +=
-                    limit - server.running;
-            }
-        }
-    }
-}
-
-placement::overview placement::make_overview(time_point now)
-{
-    for (auto& [name, server] : this->servers)
-    {
-        this->decay_suspicion(server, now);
-    }
-    overview servers_now;
-    servers_now.eligible_suspicion = this->eligible_suspicion();
-    servers_now.has_repeatable_work =
-        this->count_recent(now).repeatable_requests > 0;
-    servers_now.slowness = this->slowness_by_server(now);
-    this->count_free_places(servers_now, now);
-    return servers_now;
-}
-
 void placement::hold(std::uint64_t instance,
                      const server_statement& stated,
                      time_point now)
@@ -449,20 +263,6 @@
     }
 }
 
-// Whether the server must not be chosen for this request: the request excludes
-// it, or it has turned the request's instance away.
-bool placement::is_closed_to(const server_state& server,
-                             const place_request& request,
-                             time_point now) const
-{
-    const std::string& name = server.announced.server.name;
-    const auto held = this->holds.find(request.grant.instance);
-    return contains_name(request.excluded_servers, name) ||
-           (held != this->holds.end() &&
-            held->second.remaining(name, server.announced.started, now) >
-                duration(0));
-}
-
 // If all servers have turned the instance away, waiting is of no use: returns a
 // refusal with the time until the first of them wants work again.
 std::optional<place_refused>
@@ -488,49 +288,6 @@
                          std::chrono::ceil<milliseconds>(shortest)};
 }
 
-// Returns the server of lowest cost that has a free slot, or nullptr. A request
-// that has waited long also takes a suspected server, or a place beyond the
-// slots of a trusted one. A small random cost spreads requests over servers
-// that are otherwise equal.
-placement::server_state* placement::choose_server(const place_request& request,
-                                                  bool waited_long,
-                                                  const overview& servers_now,
-                                                  time_point now)
-{
-    const std::uint32_t free_places =
-        waited_long ? servers_now.free_places_after_long_wait
-                    : servers_now.free_places;
-    if (free_places == 0)
-    {
-        return nullptr;
-    }
-    std::uniform_real_distribution<double> noise(0.0, max_random_cost);
-    server_state* best = nullptr;
-    double lowest_cost = 0.0;
-    for (auto& [name, server] : this->servers)
-    {
-        if (server.running >= this->request_limit(server, waited_long, now) ||
-            !this->is_eligible(server, servers_now, waited_long) ||
-            this->is_closed_to(server, request, now) ||
-            this->is_awaited(server, servers_now, now))
-        {
-            continue;
-        }
-        const auto slow = servers_now.slowness.find(name);
-        const double cost =
-            this->cost_of(
-                server, request,
-                slow == servers_now.slowness.end() ? 0.0 : slow->second, now) +
-            noise(this->random);
-        if (best == nullptr || cost < lowest_cost)
-        {
-            best = &server;
-            lowest_cost = cost;
-        }
-    }
-    return best;
-}
-
 // Returns the suspected server that has been without work longest among those
 // that should be probed with this request, or nullptr. Only a request that can
 // still be sent to another server within its objective serves as a probe. While
@@ -566,193 +323,6 @@
     return longest_idle;
 }
 
-// Whether sends fail while there are requests enough for all servers. Servers
-// without work then get some, because the servers in use may be the wrong ones.
-bool placement::needs_spread(time_point now) const
-{
-    const recent_counts counts = this->count_recent(now);
-    return counts.requests >= this->servers.size() &&
-           too_many_fail(counts.failures, counts.results);
-}
-
-// Whether so many servers are without work that the floor share of the servers
-// that work may be missed.
-bool placement::is_short_of_work(time_point now) const
-{
-    if (!this->needs_spread(now))
-    {
-        return false;
-    }
-    const double wanted_share =
-        1.0 - idle_part_above_floor * (1.0 - this->floor_share);
-    const work_spread current = this->spread(now);
-    return static_cast<double>(current.with_work) <
-           wanted_share * static_cast<double>(current.servers);
-}
-
-// Whether the server should get the request because it has been without work. A
-// request that may not be repeated goes to a suspected server only if the shard
-// has no repeatable work and the floor share cannot be kept without the server.
-bool placement::is_due_for_work(const server_state& server,
-                                const place_request& request,
-                                const overview& servers_now,
-                                time_point now) const
-{
-    const bool goes_first =
-        request.repeatable || !servers_now.has_repeatable_work;
-    const duration min_idle =
-        goes_first ? idle_before_work : idle_before_unrepeatable_work;
-    if (now - server.last_work < min_idle ||
-        now - server.last_failure <
-            (server.suspected ? min_failure_age_if_suspected : min_failure_age))
-    {
-        return false;
-    }
-    if (!server.suspected)
-    {
-        return server.running < this->capacity_of(server, now);
-    }
-    return server.running == 0 &&
-           (request.repeatable ||
-            (goes_first && this->is_eligible(server, servers_now, false)));
-}
-
-// Returns the server that has been without work longest among those that are
-// due for work, or nullptr.
-placement::server_state* placement::server_due_for_work(
-    const place_request& request, const overview& servers_now, time_point now)
-{
-    if (!this->is_short_of_work(now))
-    {
-        return nullptr;
-    }
-    server_state* longest_idle = nullptr;
-    for (auto& [name, server] : this->servers)
-    {
-        if (this->is_due_for_work(server, request, servers_now, now) &&
-            !this->is_closed_to(server, request, now) &&
-            (longest_idle == nullptr ||
-             server.last_work < longest_idle->last_work))
-        {
-            longest_idle = &server;
-        }
-    }
-    return longest_idle;
-}
-
-// Marks the servers that have become suspected lately if they are many. Their
-// trials keep their pace if others still wait for theirs.
-void placement::find_joint_failure(time_point now)
-{
-    std::vector<server_state*> failed;
-    bool are_trials_running = false;
-    for (auto& [name, server] : this->servers)
-    {
-        are_trials_running = are_trials_running || server.failed_together;
-        if (server.suspected && now - server.suspected_at < joint_failure_time)
-        {
-            failed.push_back(&server);
-        }
-    }
-    if (failed.size() < min_joint_failures ||
-        static_cast<double>(failed.size()) <
-            joint_failure_share * static_cast<double>(this->servers.size()))
-    {
-        return;
-    }
-    if (!are_trials_running)
-    {
-        this->trials.restart(now);
-    }
-    for (server_state* server : failed)
-    {
-        server->failed_together = true;
-    }
-}
-
-// Whether the request may show that a server that has failed together with
-// others works again. Requests that may not be repeated serve only if the shard
-// has no others.
-bool placement::is_due_for_trial(const server_state& server,
-                                 const place_request& request,
-                                 const overview& servers_now,
-                                 time_point now) const
-{
-    return server.failed_together && server.running == 0 &&
-           (request.repeatable || !servers_now.has_repeatable_work) &&
-           now - server.last_failure >= trial_delay(server.failed_trials);
-}
-
-// Returns the server that has been without work longest among those that are
-// due for a trial, or nullptr.
-placement::server_state* placement::server_due_for_trial(
-    const place_request& request, const overview& servers_now, time_point now)
-{
-    if (!this->trials.is_due(now) || !this->needs_spread(now))
-    {
-        return nullptr;
-    }
-    server_state* longest_idle = nullptr;
-    for (auto& [name, server] : this->servers)
-    {
-        if (this->is_due_for_trial(server, request, servers_now, now) &&
-            !this->is_closed_to(server, request, now) &&
-            (longest_idle == nullptr ||
-             server.last_work < longest_idle->last_work))
-        {
-            longest_idle = &server;
-        }
-    }
-    return longest_idle;
-}
-
-// Records the end of a trial. Other requests to the server, which are many
-// while it counts towards the floor share, don't extend its delay.
-void placement::count_trial(const active_grant& ended, bool succeeded)
-{
-    const auto server = this->servers.find(ended.server);
-    if (!ended.trial || server == this->servers.end())
-    {
-        return;
-    }
-    std::uint32_t& failed_trials = server->second.failed_trials;
-    failed_trials = succeeded ? 0 : failed_trials + 1;
-    this->trials.on_ended(succeeded);
-}
-
-// Grants a server that has failed together with others a trial request.
-place_answer placement::try_again(const place_request& request,
-                                  server_state& server,
-                                  time_point now)
-{
-    this->trials.on_started(now);
-    place_answer answer = this->grant(request, server, now);
-    this->grants[request.grant].trial = true;
-    return answer;
-}
-
-// While sends fail, places the request on a server that is due for a trial or
-// for work.
-std::optional<place_answer> placement::place_on_idle_server(
-    const place_request& request, const overview& servers_now, time_point now)
-{
-    if (request.repeat)
-    {
-        return std::nullopt;
-    }
-    if (server_state* server =
-            this->server_due_for_trial(request, servers_now, now))
-    {
-        return this->try_again(request, *server, now);
-    }
-    if (server_state* server =
-            this->server_due_for_work(request, servers_now, now))
-    {
-        return this->grant(request, *server, now);
-    }
-    return std::nullopt;
-}
-
 // Takes a slot of the server for the request. On a server that is warming up,
 // the request becomes overdue only after twice the usual time.
 place_answer placement::grant(const place_request& request,
@@ -1163,79 +733,6 @@
     return answers;
 }
 
-// Returns the counts of the current period and drops old ones.
-placement::recent_counts& placement::counts_at(time_point now)
-{
-    const std::int64_t period = now.time_since_epoch() / count_period;
-    while (!this->recent.empty() &&
-           this->recent.front().period <= period - spread_time / count_period)
-    {
-        this->recent.pop_front();
-    }
-    if (this->recent.empty() || this->recent.back().period != period)
-    {
-        this->recent.emplace_back().period = period;
-    }
-    return this->recent.back();
-}
-
-// Sums of the counts of the last `spread_time`.
-placement::recent_counts placement::count_recent(time_point now) const
-{
-    const std::int64_t period = now.time_since_epoch() / count_period;
-    recent_counts sum;
-    for (const recent_counts& counts : this->recent)
-    {
-        if (counts.period > period - spread_time / count_period)
-        {
-            sum.requests += counts.requests;
-            sum.repeatable_requests += counts.repeatable_requests;
-            sum.results += counts.results;
-            sum.failures += counts.failures;
-        }
-    }
-    return sum;
-}
-
-void placement::count_request(const place_request& request, time_point now)
-{
-    recent_counts& counts = this->counts_at(now);
-    ++counts.requests;
-    counts.repeatable_requests += request.repeatable ? 1 : 0;
-}
-
-void placement::count_result(bool failed, time_point now)
-{
-    recent_counts& counts = this->counts_at(now);
-    ++counts.results;
-    counts.failures += failed ? 1 : 0;
-}
-
-work_spread placement::spread(time_point now) const
-{
-    const recent_counts counts = this->count_recent(now);
-    work_spread spread;
-    spread.servers = this->servers.size();
-    spread.requests = counts.requests;
-    spread.results = counts.results;
-    spread.failures = counts.failures;
-    for (const auto& [name, server] : this->servers)
-    {
-        spread.suspected += server.suspected ? 1 : 0;
-        spread.with_work +=
-            server.has_had_work && now - server.last_work < spread_time ? 1 : 0;
-    }
-    return spread;
-}
-
-bool placement::is_below_floor(const work_spread& spread) const
-{
-    return spread.requests >= spread.servers &&
-           too_many_fail(spread.failures, spread.results) &&
-           static_cast<double>(spread.with_work) <
-               this->floor_share * static_cast<double>(spread.servers);
-}
-
 double placement::load(time_point now) const
 {
     double slots = 0.0;
