--- a/medlarbarrow/core/work_spread.cpp
+++ b/medlarbarrow/core/work_spread.cpp
@@ -10,6 +10,27 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// How servers without work get some while sends fail. The floor counts the
+// sound servers that got work in any `spread_time`, so every time here is
+// shorter than that where it can be.
+//
+// `needs_spread` holds while sends fail and there are requests enough for all
+// servers. It switches everything below on, and early probes off.
+//
+// `server_due_for_trial` serves servers that have failed together. They are
+// taken for victims of one fault, which may be over soon: single requests find
+// that out, at the pace and after the delays of `trial_pace`.
+//
+// `is_short_of_work` holds while so many servers had no work for 2 s that the
+// floor share may be missed. Only then do other servers get work out of turn.
+//
+// `is_due_for_work` says which: those without work for 1.2 s, for requests that
+// may not be repeated 1.7 s, so that repeatable ones come first and some of the
+// 2 s is left for a request that suits. The last failure must be 1 s ago, as a
+// server that failed alone probably fails still; 2.5 s if it is suspected,
+// since a lone fault lasts some seconds and a server that has failed by itself
+// has 2 s to recover before the floor counts it.
+
 /// Requests, failures and servers in use are counted over this time, in periods
 /// of `count_period`.
 constexpr seconds spread_time{2};
