--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <medlarbarrow/core/placement.hpp>
 #include <medlarbarrow/core/placement_common.hpp>
 #include <tuple>
@@ -444,16 +445,20 @@
     {
         return this->grant(request, *server, now);
     }
+    const overview servers_now = this->make_overview(now);
     if (const auto placed =
-            this->place_on_idle_server(request, this->make_overview(now), now))
+            this->place_on_idle_server(request, servers_now, now))
     {
         return *placed;
     }
-    const queued_request arrived{request, now, now + request.time_to_objective,
-                                 now + request.time_to_deadline};
-    if (server_state* server = this->choose_past_queue(arrived, now))
+    // Waiting requests go first.
+    if (this->queue.empty())
     {
-        return this->grant(request, *server, now);
+        if (server_state* server =
+                this->choose_server(request, false, servers_now, now))
+        {
+            return this->grant(request, *server, now);
+        }
     }
     const duration wait = this->expected_wait(request.rank, now);
     if (wait + this->typical_duration(request) >
@@ -461,7 +466,8 @@
     {
         return this->make_refusal(result_code::deadline_unreachable, now);
     }
-    this->queue.push_back(arrived);
+    this->queue.push_back({request, now, now + request.time_to_objective,
+                           now + request.time_to_deadline});
     return queued{};
 }
 
@@ -616,59 +622,23 @@
 // Requests that can no longer be answered within their objective go last.
 // Within each of the two groups the most urgent rank goes first, then the
 // earliest objective.
-bool placement::goes_before(const queued_request& left,
-                            const queued_request& right,
-                            time_point now) const
+void placement::sort_queue(time_point now)
 {
-    const auto place_in_order = [this, now](const queued_request& waiting)
+    const auto misses_objective = [this, now](const queued_request& waiting)
     {
-        const bool misses_objective =
-            waiting.objective_at <
-            now + this->typical_duration(waiting.request);
-        return std::tuple(misses_objective, waiting.request.rank,
-                          waiting.objective_at);
+        return waiting.objective_at <
+               now + this->typical_duration(waiting.request);
     };
-    return place_in_order(left) < place_in_order(right);
-}
-
-void placement::sort_queue(time_point now)
-{
-    std::stable_sort(
-        this->queue.begin(), this->queue.end(),
-        [this, now](const queued_request& left, const queued_request& right)
-        {
-            return this->goes_before(left, right, now);
-        });
-}
-
-// Whether a request that goes before the one that is being placed may use the
-// server.
-bool placement::is_awaited(const server_state& server,
-                           const overview& servers_now,
-                           time_point now) const
-{
-    return std::any_of(servers_now.ahead.begin(), servers_now.ahead.end(),
-                       [&](const place_request* waiting)
-                       {
-                           return !this->is_closed_to(server, *waiting, now);
-                       });
-}
-
-// Chooses a server for a request that has just arrived. It leaves the servers
-// to the waiting requests that go before it and may use them, but does not wait
-// behind requests that may not.
-placement::server_state*
-placement::choose_past_queue(const queued_request& arrived, time_point now)
-{
-    overview servers_now = this->make_overview(now);
-    for (const queued_request& waiting : this->queue)
+    const auto first_late = std::stable_partition(
+        this->queue.begin(), this->queue.end(), std::not_fn(misses_objective));
+    const auto is_more_urgent =
+        [](const queued_request& left, const queued_request& right)
     {
-        if (!this->goes_before(arrived, waiting, now))
-        {
-            servers_now.ahead.push_back(&waiting.request);
-        }
-    }
-    return this->choose_server(arrived.request, false, servers_now, now);
+        return std::tie(left.request.rank, left.objective_at) <
+               std::tie(right.request.rank, right.objective_at);
+    };
+    std::stable_sort(this->queue.begin(), first_late, is_more_urgent);
+    std::stable_sort(first_late, this->queue.end(), is_more_urgent);
 }
 
 std::vector<deferred_answer> placement::tick(time_point now)
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -278,8 +278,6 @@
         std::map<std::string_view, double> slowness; ///< by server
         std::uint32_t free_places = 0;
         std::uint32_t free_places_after_long_wait = 0;
-        /// Waiting requests that go before the one that is being placed.
-        std::vector<const place_request*> ahead;
     };
 
     bool is_closed_to(const server_state& server,
@@ -338,15 +336,7 @@
     duration expected_wait(std::uint32_t rank, time_point now) const;
     void check_active_grants(time_point now);
     bool is_crashing(std::uint64_t content, time_point now) const;
-    bool goes_before(const queued_request& left,
-                     const queued_request& right,
-                     time_point now) const;
     void sort_queue(time_point now);
-    bool is_awaited(const server_state& server,
-                    const overview& servers_now,
-                    time_point now) const;
-    server_state* choose_past_queue(const queued_request& arrived,
-                                    time_point now);
 
     repeat_budget repeats;
     double floor_share = default_floor_share;
--- a/medlarbarrow/core/placement_choice.cpp
+++ b/medlarbarrow/core/placement_choice.cpp
@@ -185,8 +185,7 @@
     {
         if (server.running >= this->request_limit(server, waited_long, now) ||
             !this->is_eligible(server, servers_now, waited_long) ||
-            this->is_closed_to(server, request, now) ||
-            this->is_awaited(server, servers_now, now))
+            this->is_closed_to(server, request, now))
         {
             continue;
         }
