--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -13,6 +13,8 @@
 #include <medlarbarrow/core/result_codes.hpp>
 #include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/core/server_statement.hpp>
+#include <medlarbarrow/core/trial_pace.hpp>
+#include <medlarbarrow/core/work_spread.hpp>
 #include <optional>
 #include <random>
 #include <string>
@@ -90,22 +92,6 @@
     cancelled        ///< the caller left, or another send was answered first
 };
 
-/// Smallest share of a shard's servers that get work while sends fail, unless
-/// the settings name another.
-inline constexpr double default_floor_share = 0.7;
-
-/// How the work of a shard is spread over its servers, over the last two
-/// seconds.
-struct work_spread
-{
-    std::size_t servers = 0;
-    std::size_t with_work = 0; ///< servers that were granted a request
-    std::size_t suspected = 0;
-    std::size_t requests = 0; ///< without their repeats
-    std::size_t results = 0;  ///< ended or overdue sends
-    std::size_t failures = 0; ///< of the results
-};
-
 /// A change of a server between trusted and suspected, for the log.
 struct placement_event
 {
@@ -130,7 +116,9 @@
 /// too few servers are trusted: the floor share of the servers stays eligible,
 /// the least suspected ones first. While sends fail, a server that has been
 /// without work gets the next request that suits, so that a server that works
-/// again is not left idle until its suspicion has decayed.
+/// again is not left idle until its suspicion has decayed. Servers that become
+/// suspected at the same time are taken for victims of one fault, which may be
+/// short: while sends fail, they get trial requests at a common pace.
 class placement
 {
 public:
@@ -213,6 +201,10 @@
         time_point last_work{};
         bool has_had_work = false;
         bool suspected = false;
+        time_point suspected_at{}; ///< when it last became suspected
+        /// Suspected, and became so at the same time as many others.
+        bool failed_together = false;
+        std::uint32_t failed_trials = 0; ///< in a row
         std::map<std::uint64_t, time_point> last_send_by_instance;
     };
 
@@ -225,6 +217,7 @@
         time_point overdue_at{};
         time_point expires_at{}; ///< then counts as cancelled
         bool overdue = false;    ///< it has raised its server's suspicion
+        bool trial = false;      ///< of a server that failed with others
     };
 
     struct queued_request
@@ -264,6 +257,7 @@
     {
         std::vector<std::string> servers; ///< distinct, since the last success
         time_point last_crash{};
+        time_point last_trial{}; ///< last grant to a request of the digest
     };
 
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
@@ -321,17 +315,34 @@
                          const place_request& request,
                          const overview& servers_now,
                          time_point now) const;
+    void find_joint_failure(time_point now);
+    bool is_due_for_trial(const server_state& server,
+                          const place_request& request,
+                          const overview& servers_now,
+                          time_point now) const;
+    server_state* server_due_for_trial(const place_request& request,
+                                       const overview& servers_now,
+                                       time_point now);
+    std::optional<place_answer>
+    place_on_idle_server(const place_request& request,
+                         const overview& servers_now,
+                         time_point now);
+    void count_trial(const active_grant& ended, bool succeeded);
     place_answer
     grant(const place_request& request, server_state& server, time_point now);
+    place_answer try_again(const place_request& request,
+                           server_state& server,
+                           time_point now);
     place_refused make_refusal(result_code code, time_point now) const;
     duration expected_wait(std::uint32_t rank, time_point now) const;
     void check_active_grants(time_point now);
-    bool is_crashing(std::uint64_t content) const;
+    bool is_crashing(std::uint64_t content, time_point now) const;
     void sort_queue(time_point now);
 
     repeat_budget repeats;
     double floor_share = default_floor_share;
     std::deque<recent_counts> recent; ///< newest last
+    trial_pace trials;
     std::mt19937_64 random;
     std::map<std::string, server_state> servers;
     std::map<grant_id, active_grant> grants;
