Use one name for each term of planned stops and server notices

may_send was the name of three questions: whether a server accepts requests here (accepts_requests), whether a request can finish before the end of a shutdown (can_finish) and whether a caller still lets a request be sent (may_send stays). The end of sending had three names; it is stop_sending and sending_stopped now. server_statement is server_notice, leaving_news recent_leaving_marks, is_closed_to is_excluded_for, has_success_mark has_success_header. The log line server_suspected names the suspicion as "suspicion".

No change of behaviour but that name; the whole ctest passes.

--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -5,7 +5,7 @@
 #include <medlarbarrow/core/membership.hpp>
 #include <medlarbarrow/core/placement.hpp>
 #include <medlarbarrow/core/quota.hpp>
-#include <medlarbarrow/core/server_statement.hpp>
+#include <medlarbarrow/core/server_notice.hpp>
 #include <medlarbarrow/core/shards.hpp>
 #include <variant>
 
@@ -65,7 +65,7 @@
     grant_id grant;
     send_outcome outcome = send_outcome::cancelled;
     duration latency{};
-    server_statement statement{}; ///< of the server, in its answer
+    server_notice notice{}; ///< of the server, in its answer
 };
 
 /// Acknowledges a done_call.
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -243,10 +243,10 @@
 }
 
 void placement::hold(std::uint64_t instance,
-                     const server_statement& stated,
+                     const server_notice& notice,
                      time_point now)
 {
-    if (stated.retry_after <= duration(0))
+    if (notice.retry_after <= duration(0))
     {
         return;
     }
@@ -262,8 +262,8 @@
     if (this->holds.contains(instance) ||
         this->holds.size() < max_held_instances)
     {
-        this->holds[instance].hold(stated.server, stated.started,
-                                   stated.retry_after, now);
+        this->holds[instance].hold(notice.server, notice.started,
+                                   notice.retry_after, now);
     }
 }
 
@@ -313,7 +313,7 @@
     {
         if (server.suspected && server.running == 0 &&
             now - server.last_probe >= probe_interval &&
-            !this->is_closed_to(server, request, now) &&
+            !this->is_excluded_for(server, request, now) &&
             (longest_idle == nullptr ||
              server.last_work < longest_idle->last_work))
         {
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -12,7 +12,7 @@
 #include <medlarbarrow/core/repeat_budget.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
 #include <medlarbarrow/core/server_holds.hpp>
-#include <medlarbarrow/core/server_statement.hpp>
+#include <medlarbarrow/core/server_notice.hpp>
 #include <medlarbarrow/core/trial_pace.hpp>
 #include <medlarbarrow/core/work_spread.hpp>
 #include <optional>
@@ -146,9 +146,8 @@
 
     /// Records that a server has turned an instance away. Until the stated time
     /// has passed, no request of the instance gets that server.
-    void hold(std::uint64_t instance,
-              const server_statement& stated,
-              time_point now);
+    void
+    hold(std::uint64_t instance, const server_notice& notice, time_point now);
 
     /// Gives up a request that waits or a grant that was not used.
     void cancel(const grant_id& grant, time_point now);
@@ -281,9 +280,9 @@
         std::uint32_t free_places_after_long_wait = 0;
     };
 
-    bool is_closed_to(const server_state& server,
-                      const place_request& request,
-                      time_point now) const;
+    bool is_excluded_for(const server_state& server,
+                         const place_request& request,
+                         time_point now) const;
     std::optional<place_refused>
     refusal_if_turned_away(const place_request& request, time_point now) const;
     overview make_overview(time_point now);
--- a/medlarbarrow/core/placement_choice.cpp
+++ b/medlarbarrow/core/placement_choice.cpp
@@ -150,9 +150,9 @@
 
 // Whether the server must not be chosen for this request: the request excludes
 // it, or it has turned the request's instance away.
-bool placement::is_closed_to(const server_state& server,
-                             const place_request& request,
-                             time_point now) const
+bool placement::is_excluded_for(const server_state& server,
+                                const place_request& request,
+                                time_point now) const
 {
     const std::string& name = server.announced.server.name;
     const auto held = this->holds.find(request.grant.instance);
@@ -185,7 +185,7 @@
     {
         if (server.running >= this->request_limit(server, waited_long, now) ||
             !this->is_eligible(server, servers_now, waited_long) ||
-            this->is_closed_to(server, request, now))
+            this->is_excluded_for(server, request, now))
         {
             continue;
         }
--- a/medlarbarrow/core/leaving_news.cpp
+++ b/medlarbarrow/core/recent_leaving_marks.cpp
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <medlarbarrow/core/leaving_news.hpp>
+#include <medlarbarrow/core/recent_leaving_marks.hpp>
 
 namespace medlarbarrow::core
 {
@@ -9,7 +9,7 @@
 
 /// Time for which a run is passed on. Gossip reaches 830 instances in about
 /// ten rounds of 0.5 s.
-constexpr std::chrono::seconds news_lifetime{10};
+constexpr std::chrono::seconds mark_lifetime{10};
 
 /// Runs kept; the oldest is dropped first. Each message holds several, so that
 /// this many take turns within the lifetime.
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void leaving_news::add(leaving_run run, time_point now)
+void recent_leaving_marks::add(leaving_run run, time_point now)
 {
     if (size_of(run) > max_leaving_bytes)
     {
@@ -46,12 +46,12 @@
     this->items.push_front({std::move(run), now});
 }
 
-std::vector<leaving_run> leaving_news::take(time_point now)
+std::vector<leaving_run> recent_leaving_marks::take(time_point now)
 {
     std::erase_if(this->items,
                   [now](const item& known)
                   {
-                      return now - known.added_at >= news_lifetime;
+                      return now - known.added_at >= mark_lifetime;
                   });
     std::vector<leaving_run> taken;
     std::size_t bytes = 0;
--- a/medlarbarrow/core/leaving_news.hpp
+++ b/medlarbarrow/core/recent_leaving_marks.hpp
@@ -16,7 +16,7 @@
 constexpr std::size_t leaving_run_overhead = 12;
 
 /// Bounded list of runs to pass on.
-class leaving_news
+class recent_leaving_marks
 {
 public:
     /// Adds a run. A run whose name does not fit a message is left out.
--- a/medlarbarrow/core/registry.cpp
+++ b/medlarbarrow/core/registry.cpp
@@ -66,7 +66,7 @@
 
 bool server_registry::mark_leaving(const leaving_run& run,
                                    time_point now,
-                                   leaving_word from)
+                                   mark_origin from)
 {
     const auto registered = this->entries.find(run.server);
     const bool has_entry = registered != this->entries.end();
@@ -75,7 +75,7 @@
     {
         return false;
     }
-    if (run.started == 0 && from == leaving_word::passed_on &&
+    if (run.started == 0 && from == mark_origin::other_instance &&
         this->has_ended_lately(run.server, now))
     {
         return false;
--- a/medlarbarrow/core/registry.hpp
+++ b/medlarbarrow/core/registry.hpp
@@ -39,10 +39,10 @@
 };
 
 /// Who has said that a run leaves.
-enum class leaving_word : std::uint8_t
+enum class mark_origin : std::uint8_t
 {
-    own,      ///< the server itself, in an answer to this instance
-    passed_on ///< another instance
+    own_answer, ///< the server itself, in an answer to this instance
+    other_instance
 };
 
 /// Time after which a run without a start time that has said that it leaves has
@@ -75,11 +75,11 @@
     /// newer run is used again. Runs without a start time look alike, so their
     /// mark ends when an announcement shows that the run has ended (its
     /// sequence starts again), and else after unknown_run_lifetime. A mark that
-    /// names a start holds for other runs for an hour. True if it is news: the
+    /// names a start holds for other runs for an hour. True if it is new: the
     /// run was not known to leave, and no newer one is registered.
     bool mark_leaving(const leaving_run& run,
                       time_point now,
-                      leaving_word from = leaving_word::own);
+                      mark_origin from = mark_origin::own_answer);
 
     /// Whether this run, or a newer one of the same name, is marked as leaving.
     bool is_marked_leaving(const leaving_run& run) const;
--- a/medlarbarrow/core/server_statement.hpp
+++ b/medlarbarrow/core/server_notice.hpp
@@ -9,7 +9,7 @@
 {
 
 /// The run is named, so that a late report cannot concern a newer run.
-struct server_statement
+struct server_notice
 {
     std::string server;
     std::uint64_t started = 0; ///< Unix milliseconds; 0: unknown
--- a/medlarbarrow/core/shutdown.cpp
+++ b/medlarbarrow/core/shutdown.cpp
@@ -45,8 +45,8 @@
     return received <= this->start + this->grace / 2 - half_reserve;
 }
 
-bool shutdown_plan::may_send(const send_estimate& estimate,
-                             time_point now) const noexcept
+bool shutdown_plan::can_finish(const send_estimate& estimate,
+                               time_point now) const noexcept
 {
     if (now >= this->waiting_refused_at())
     {
--- a/medlarbarrow/core/shutdown.hpp
+++ b/medlarbarrow/core/shutdown.hpp
@@ -31,7 +31,8 @@
     bool takes(time_point received) const noexcept;
 
     /// True if the request may be sent to a server at this time.
-    bool may_send(const send_estimate& estimate, time_point now) const noexcept;
+    bool can_finish(const send_estimate& estimate,
+                    time_point now) const noexcept;
 
     /// From this time on, nothing is sent to a server any more: the requests
     /// that still wait for one, and those that have been read only in part, are
--- a/medlarbarrow/core/work_spread.cpp
+++ b/medlarbarrow/core/work_spread.cpp
@@ -147,7 +147,7 @@
     for (auto& [name, server] : this->servers)
     {
         if (this->is_due_for_work(server, request, servers_now, now) &&
-            !this->is_closed_to(server, request, now) &&
+            !this->is_excluded_for(server, request, now) &&
             (longest_idle == nullptr ||
              server.last_work < longest_idle->last_work))
         {
@@ -213,7 +213,7 @@
     for (auto& [name, server] : this->servers)
     {
         if (this->is_due_for_trial(server, request, servers_now, now) &&
-            !this->is_closed_to(server, request, now) &&
+            !this->is_excluded_for(server, request, now) &&
             (longest_idle == nullptr ||
              server.last_work < longest_idle->last_work))
         {
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -277,7 +277,7 @@
 // Refuses the requests that wait for a server or have arrived only in part.
 void entry::state::end_waiting()
 {
-    this->sending_ended = true;
+    this->sending_stopped = true;
     this->servers.stop_sending();
     for (session* open_session : this->sessions)
     {
--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -132,7 +132,7 @@
     this->request = {};
     this->may_have_run = false;
     this->caller->close_after_answer();
-    if (status == head_status::timed_out && this->shared->sending_ended)
+    if (status == head_status::timed_out && this->shared->sending_stopped)
     {
         co_await this->refuse_for_shutdown();
         co_return;
@@ -191,7 +191,7 @@
     }
     if (!co_await this->caller->prefetch(digested_body_bytes))
     {
-        if (this->shared->sending_ended && !this->caller->is_body_malformed())
+        if (this->shared->sending_stopped && !this->caller->is_body_malformed())
         {
             co_await this->refuse_for_shutdown();
             co_return false;
@@ -269,7 +269,7 @@
 asio::awaitable<entry::state::session::progress>
 entry::state::session::wait(core::time_point until)
 {
-    if (this->shared->sending_ended)
+    if (this->shared->sending_stopped)
     {
         const progress state = co_await this->give_up_for_shutdown();
         co_return state;
--- a/medlarbarrow/net/entry_state.hpp
+++ b/medlarbarrow/net/entry_state.hpp
@@ -62,7 +62,7 @@
     std::set<session*> waiting_sessions; ///< in step_wait
     bool draining = false;
     std::optional<core::shutdown_plan> plan; ///< set by drain()
-    bool sending_ended = false; ///< nothing is sent to servers any more
+    bool sending_stopped = false; ///< nothing is sent to servers any more
     std::function<void()> drained;
 };
 
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -2,8 +2,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <medlarbarrow/core/hash.hpp>
-#include <medlarbarrow/core/leaving_news.hpp>
 #include <medlarbarrow/core/readers.hpp>
+#include <medlarbarrow/core/recent_leaving_marks.hpp>
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -172,7 +172,7 @@
     asio::io_context& io;
     fleet_settings settings;
     core::server_registry& servers;
-    core::leaving_news news;
+    core::recent_leaving_marks recent_marks;
     fleet_callbacks callbacks;
     core::instance_address own_address;
     std::uint64_t instance_id; ///< address and incarnation, identifies grants
@@ -275,7 +275,7 @@
     message.wants_reply = wants_reply;
     message.leaving = this->leaving;
     message.members = this->members.make_reports(report_count, now());
-    message.leaving_runs = this->news.take(now());
+    message.leaving_runs = this->recent_marks.take(now());
     return message;
 }
 
@@ -374,9 +374,9 @@
 void fleet::state::record_leaving(const core::leaving_run& run,
                                   leaving_source from)
 {
-    const core::leaving_word word = from == leaving_source::answer
-                                        ? core::leaving_word::own
-                                        : core::leaving_word::passed_on;
+    const core::mark_origin word = from == leaving_source::answer
+                                       ? core::mark_origin::own_answer
+                                       : core::mark_origin::other_instance;
     if (run.server.empty() || !this->servers.mark_leaving(run, now(), word))
     {
         return;
@@ -385,7 +385,7 @@
     log::write(log::level::info, "server_leaving",
                {log::kv("server", run.server), log::kv("started", run.started),
                 log::kv("source", name_of(from))});
-    this->news.add(run, now());
+    this->recent_marks.add(run, now());
 }
 
 void fleet::state::on_message(core::instance_address sender,
@@ -627,11 +627,10 @@
     }
     this->send(sender,
                core::done_reply{message.grant.number, message.shard.number});
-    if (message.statement.leaving)
+    if (message.notice.leaving)
     {
-        this->record_leaving(
-            {message.statement.server, message.statement.started},
-            leaving_source::owner_report);
+        this->record_leaving({message.notice.server, message.notice.started},
+                             leaving_source::owner_report);
     }
     this->owned_shards.on_send_ended(message);
 }
@@ -784,9 +783,9 @@
 void fleet::report_send_end(const core::grant_id& grant,
                             core::send_outcome outcome,
                             core::duration latency,
-                            const core::server_statement& statement)
+                            const core::server_notice& notice)
 {
-    this->self->places.report_send_end(grant, outcome, latency, statement);
+    this->self->places.report_send_end(grant, outcome, latency, notice);
 }
 
 void fleet::record_leaving(const core::leaving_run& run, leaving_source from)
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -120,7 +120,7 @@
     void report_send_end(const core::grant_id& grant,
                          core::send_outcome outcome,
                          core::duration latency,
-                         const core::server_statement& statement = {});
+                         const core::server_notice& notice = {});
 
     /// Marks a run of a server as leaving and passes that on to the other
     /// instances.
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -185,15 +185,15 @@
     elements.push_back(static_cast<int>(message.outcome));
     elements.push_back(to_ms(message.latency));
     elements.push_back(message.shard.number);
-    // Few sends end with a statement, so it takes bytes only then.
-    if (!message.statement.is_empty())
+    // Few sends end with a notice, so it takes bytes only then.
+    if (!message.notice.is_empty())
     {
-        elements.push_back(message.statement.server);
-        elements.push_back(message.statement.started);
-        elements.push_back(message.statement.leaving);
+        elements.push_back(message.notice.server);
+        elements.push_back(message.notice.started);
+        elements.push_back(message.notice.leaving);
         // Rounded up, so that the owner does not choose the server too early.
         elements.push_back(
-            std::chrono::ceil<milliseconds>(message.statement.retry_after)
+            std::chrono::ceil<milliseconds>(message.notice.retry_after)
                 .count());
     }
     return elements;
@@ -327,12 +327,12 @@
     message.outcome = static_cast<core::send_outcome>(outcome);
     message.latency = from_ms(elements.at(5));
     message.shard.number = optional_element<std::uint32_t>(elements, 6);
-    message.statement.server = optional_element<std::string>(elements, 7);
-    message.statement.started = optional_unsigned(elements, 8);
-    message.statement.leaving = optional_element<bool>(elements, 9);
+    message.notice.server = optional_element<std::string>(elements, 7);
+    message.notice.started = optional_unsigned(elements, 8);
+    message.notice.leaving = optional_element<bool>(elements, 9);
     constexpr std::uint64_t max_hold_ms =
         std::chrono::duration_cast<milliseconds>(core::max_hold).count();
-    message.statement.retry_after =
+    message.notice.retry_after =
         milliseconds(std::min(optional_unsigned(elements, 10), max_hold_ms));
     return message;
 }
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -555,7 +555,7 @@
     run_after(this->waiting_timer, delay_until(plan.waiting_refused_at()),
               [this]
               {
-                  this->caller_gateway->refuse_waiting();
+                  this->caller_gateway->stop_sending();
               });
     run_after(this->running_timer, delay_until(plan.running_ended_at()),
               [this]
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -40,7 +40,7 @@
         {
             opened->connection().drain();
         }
-        if (this->sending_ended)
+        if (this->sending_stopped)
         {
             opened->connection().expire_reading();
         }
@@ -230,13 +230,13 @@
     }
 }
 
-void gateway::refuse_waiting()
+void gateway::stop_sending()
 {
-    this->self->sending_ended = true;
+    this->self->sending_stopped = true;
     this->self->connections.stop_sending();
     for (state::session* open_session : this->self->sessions)
     {
-        open_session->refuse_waiting();
+        open_session->stop_sending();
     }
 }
 
--- a/medlarbarrow/net/gateway.hpp
+++ b/medlarbarrow/net/gateway.hpp
@@ -73,7 +73,7 @@
 
     /// Refuses the requests that wait for a server or have arrived only in
     /// part. From now on nothing is sent to a server.
-    void refuse_waiting();
+    void stop_sending();
 
     /// Tells the callers of requests that still run that the outcome is
     /// unknown. Answers that are being written go on.
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -200,7 +200,7 @@
     {
         code = result_code::caller_gone;
     }
-    if (code == result_code::caller_gone && this->shared->sending_ended)
+    if (code == result_code::caller_gone && this->shared->sending_stopped)
     {
         co_await this->refuse_for_shutdown(true);
         co_return;
@@ -374,7 +374,7 @@
             code = result_code::bad_request;
         }
         this->caller->close_after_answer();
-        if (code == result_code::caller_gone && this->shared->sending_ended)
+        if (code == result_code::caller_gone && this->shared->sending_stopped)
         {
             co_await this->refuse_for_shutdown(true);
             co_return false;
@@ -405,7 +405,7 @@
                                   *answer = quota;
                                   self->progress.notify();
                               });
-    while (!*answer && now() < this->deadline && !this->shared->sending_ended)
+    while (!*answer && now() < this->deadline && !this->shared->sending_stopped)
     {
         co_await this->progress.wait_until(this->deadline);
     }
@@ -413,7 +413,7 @@
     {
         co_return true;
     }
-    if (!*answer && this->shared->sending_ended)
+    if (!*answer && this->shared->sending_stopped)
     {
         co_await this->refuse_for_shutdown(true);
         co_return false;
@@ -501,8 +501,8 @@
 
 // Whether this run of the server is announced here and accepts requests. The
 // owner's list of servers may be newer or older than that of this instance.
-bool gateway::state::may_send(const core::leaving_run& run,
-                              const std::string& service) const
+bool gateway::state::accepts_requests(const core::leaving_run& run,
+                                      const std::string& service) const
 {
     const core::announced_server* announced = this->servers.find(run.server);
     return announced != nullptr && !announced->leaving &&
@@ -589,14 +589,13 @@
     {
         return;
     }
-    core::server_statement& statement = current.statement;
-    statement.leaving =
-        statement.leaving || this->shared->servers.is_marked_leaving(
-                                 {statement.server, statement.started});
-    statement.retry_after = this->shared->holds.remaining(
-        statement.server, statement.started, now());
+    core::server_notice& notice = current.notice;
+    notice.leaving = notice.leaving || this->shared->servers.is_marked_leaving(
+                                           {notice.server, notice.started});
+    notice.retry_after =
+        this->shared->holds.remaining(notice.server, notice.started, now());
     this->shared->peers.report_send_end(*current.grant, outcome, latency,
-                                        statement);
+                                        notice);
     current.grant.reset();
 }
 
@@ -618,9 +617,9 @@
         this->shared->servers.find(action.server);
     const core::leaving_run run{action.server,
                                 announced == nullptr ? 0 : announced->started};
-    current.statement.server = run.server;
-    current.statement.started = run.started;
-    if (!this->shared->may_send(run, this->service))
+    current.notice.server = run.server;
+    current.notice.started = run.started;
+    if (!this->shared->accepts_requests(run, this->service))
     {
         // No fault of the server. The owner learns from the report whether the
         // server leaves or wants no work, or that it is not known here yet.
@@ -696,7 +695,7 @@
     {
         const auto self = current_session();
         return self && self->can_end(self->attempts[number]) &&
-               shared->may_send(run, requested_service);
+               shared->accepts_requests(run, requested_service);
     };
     callbacks.on_answer_header = [shared = this->shared, current_session,
                                   number,
@@ -716,7 +715,7 @@
 void gateway::state::session::on_answer_header(
     std::size_t number, const core::attempt_result& result)
 {
-    this->attempts[number].statement.leaving = result.leaving;
+    this->attempts[number].notice.leaving = result.leaving;
 }
 
 void gateway::state::session::on_send_end(std::size_t number,
@@ -760,7 +759,7 @@
 {
     this->service = this->shared->splitter.choose_service(*this->route);
     this->flow.emplace(this->make_flow_terms());
-    if (this->shared->sending_ended)
+    if (this->shared->sending_stopped)
     {
         this->flow->stop_sending(this->shutdown_refusal());
     }
@@ -811,7 +810,7 @@
             core::duration retry_after = refusal->retry_after;
             if (refusal->code == result_code::shutting_down)
             {
-                this->count_shutdown_refusal(this->shared->sending_ended);
+                this->count_shutdown_refusal(this->shared->sending_stopped);
             }
             else if (!refusal->outcome_unknown)
             {
@@ -889,7 +888,7 @@
 bool gateway::state::session::can_end(const attempt& current) const
 {
     return !this->shared->plan ||
-           this->shared->plan->may_send(
+           this->shared->plan->can_finish(
                {this->route->repeatable, current.typical, this->deadline},
                now());
 }
@@ -913,7 +912,7 @@
                {log::kv("id", this->request.id)});
 }
 
-void gateway::state::session::refuse_waiting()
+void gateway::state::session::stop_sending()
 {
     this->caller->expire_reading();
     if (this->serving && this->flow)
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -79,8 +79,8 @@
     void on_session_end(session& ended);
     void run_maintenance();
     void notify_if_drained();
-    bool may_send(const core::leaving_run& run,
-                  const std::string& service) const;
+    bool accepts_requests(const core::leaving_run& run,
+                          const std::string& service) const;
     void record_answer_header(const core::leaving_run& run,
                               const core::attempt_result& result);
     std::optional<core::duration> time_until_wanted(const std::string& service);
@@ -105,7 +105,7 @@
     std::set<session*> sessions;
     std::size_t running_requests = 0;
     std::optional<core::shutdown_plan> plan; ///< set when a shutdown begins
-    bool sending_ended = false; ///< nothing is sent to servers any more
+    bool sending_stopped = false; ///< nothing is sent to servers any more
     bool stopping = false;
     std::function<void()> on_drained;
 };
@@ -132,7 +132,7 @@
     }
 
     /// Refuses the request in progress unless a server works on it.
-    void refuse_waiting();
+    void stop_sending();
 
     /// Ends the request in progress if it runs at a server. Its caller is told
     /// that the outcome is unknown, unless an answer has been started.
@@ -147,8 +147,8 @@
     {
         std::optional<core::grant_id> grant;
         std::string server;
-        core::duration typical{};         ///< expected duration of the send
-        core::server_statement statement; ///< of the server, for the owner
+        core::duration typical{};   ///< expected duration of the send
+        core::server_notice notice; ///< of the server, for the owner
         std::shared_ptr<send> active_send;
         std::string ending; ///< how the send ended, for the log
         core::time_point ended_at{};
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -387,7 +387,7 @@
 void place_calls::report_send_end(const core::grant_id& grant,
                                   core::send_outcome outcome,
                                   core::duration latency,
-                                  const core::server_statement& statement)
+                                  const core::server_notice& notice)
 {
     const auto position = this->grants.find(grant.number);
     if (position == this->grants.end())
@@ -396,7 +396,7 @@
     }
     const open_grant granted = std::move(position->second);
     this->grants.erase(position);
-    this->report({granted.shard, grant, outcome, latency, statement},
+    this->report({granted.shard, grant, outcome, latency, notice},
                  granted.owner);
 }
 
@@ -447,7 +447,7 @@
     ++state.unanswered_calls;
     core::done_call message = state.message;
     // The owner counts a hold from the arrival of the report.
-    core::duration& hold = message.statement.retry_after;
+    core::duration& hold = message.notice.retry_after;
     hold -= std::min(hold, now() - state.reported_at);
     this->parts.send(state.owner, message);
     run_after(*state.timer, done_call_timeout,
--- a/medlarbarrow/net/place_calls.hpp
+++ b/medlarbarrow/net/place_calls.hpp
@@ -59,7 +59,7 @@
     void report_send_end(const core::grant_id& grant,
                          core::send_outcome outcome,
                          core::duration latency,
-                         const core::server_statement& statement = {});
+                         const core::server_notice& notice = {});
 
     void on_reply(core::instance_address sender,
                   const core::place_reply& message);
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -120,12 +120,12 @@
 // An instance that does not know a server names it without its start time. Its
 // hold then concerns the run that is known here, for a short time only, because
 // it may be another one.
-core::server_statement
-service_owners::name_run(const core::server_statement& statement) const
+core::server_notice
+service_owners::name_run(const core::server_notice& notice) const
 {
-    core::server_statement named = statement;
-    const core::announced_server* known = this->servers.find(statement.server);
-    if (statement.started == 0 && known != nullptr && known->started != 0)
+    core::server_notice named = notice;
+    const core::announced_server* known = this->servers.find(notice.server);
+    if (notice.started == 0 && known != nullptr && known->started != 0)
     {
         named.started = known->started;
         named.retry_after = std::min(named.retry_after, core::unknown_run_hold);
@@ -138,7 +138,7 @@
 void service_owners::record_hold(owned_shard& owned,
                                  const core::done_call& ended) const
 {
-    if (ended.statement.retry_after <= core::duration(0))
+    if (ended.notice.retry_after <= core::duration(0))
     {
         return;
     }
@@ -149,8 +149,8 @@
                   });
     if (owned.holds_counted.emplace(ended.grant, now()).second)
     {
-        owned.placement.hold(ended.grant.instance,
-                             this->name_run(ended.statement), now());
+        owned.placement.hold(ended.grant.instance, this->name_run(ended.notice),
+                             now());
     }
 }
 
@@ -208,14 +208,14 @@
     }
     for (const core::placement_event& event : owned.placement.take_events())
     {
-        log::write(log::level::info, "server_" + event.change,
-                   {log::kv("service", key.shard.service),
-                    log::kv("shard", key.shard.number),
-                    log::kv("server", event.server),
-                    log::kv("reason", event.reason),
-                    log::kv("doubt", fmt::format("{:.2f}", event.suspicion)),
-                    log::kv("running", owned.placement.running()),
-                    log::kv("waiting", owned.placement.waiting())});
+        log::write(
+            log::level::info, "server_" + event.change,
+            {log::kv("service", key.shard.service),
+             log::kv("shard", key.shard.number),
+             log::kv("server", event.server), log::kv("reason", event.reason),
+             log::kv("suspicion", fmt::format("{:.2f}", event.suspicion)),
+             log::kv("running", owned.placement.running()),
+             log::kv("waiting", owned.placement.waiting())});
     }
     this->log_missed_floor(key, owned);
 }
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -103,8 +103,7 @@
 
     owned_shard& find_or_create(const shard_key& key);
     core::retry_limits limits_of(const shard_key& key) const;
-    core::server_statement
-    name_run(const core::server_statement& statement) const;
+    core::server_notice name_run(const core::server_notice& notice) const;
     void record_hold(owned_shard& owned, const core::done_call& ended) const;
     void refresh_servers(const shard_key& key, owned_shard& owned);
     void update(const shard_key& key, owned_shard& owned);
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -191,7 +191,7 @@
 
     asio::awaitable<bool> discard_answer(exchange& current,
                                          const checked_request& request);
-    bool has_success_mark(const http::response_header<>& header) const;
+    bool has_success_header(const http::response_header<>& header) const;
     bool is_own_answer(const exchange& current) const;
     bool ends_with_connection(const exchange& current) const;
     bool states_not_run(const http::response_header<>& header) const;
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -98,7 +98,7 @@
 
 // False for a success that lacks the header which each whole success bears: the
 // server stopped in the middle of the head.
-bool upstream::has_success_mark(const http::response_header<>& header) const
+bool upstream::has_success_header(const http::response_header<>& header) const
 {
     return header.result_int() / 100 != 2 || this->names.success_mark.empty() ||
            !header[this->names.success_mark].empty();
@@ -261,7 +261,7 @@
         current.reject_damaged("no framing or no final answer");
         co_return false;
     }
-    if (!this->has_success_mark(header))
+    if (!this->has_success_header(header))
     {
         current.reject_damaged("success without its header");
         co_return false;
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -1,5 +1,5 @@
 #include <gtest/gtest.h>
-#include <medlarbarrow/core/leaving_news.hpp>
+#include <medlarbarrow/core/recent_leaving_marks.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
@@ -21,10 +21,10 @@
     news.leaving_runs = {{"i-4", 1'700'000'000'000}, {"i-5", 0}};
     core::done_call statement{
         {"specbook", 3}, {7, 9}, core::send_outcome::succeeded, 5ms};
-    statement.statement.server = "i-4";
-    statement.statement.started = 1'700'000'000'000;
-    statement.statement.leaving = true;
-    statement.statement.retry_after = 1500ms;
+    statement.notice.server = "i-4";
+    statement.notice.started = 1'700'000'000'000;
+    statement.notice.leaving = true;
+    statement.notice.retry_after = 1500ms;
     core::place_call place;
     place.shard = {"specbook", 3};
     place.request.grant = {7, 9};
@@ -81,7 +81,7 @@
         message.members.push_back(
             {0xfffffff0U + index % 16, 1'700'000'000'000, 7999ms, false});
     }
-    core::leaving_news news;
+    core::recent_leaving_marks news;
     for (std::uint32_t index = 0; index < 100; ++index)
     {
         news.add({"i-" + std::to_string(index), 1'700'000'000'000}, {});
@@ -100,11 +100,11 @@
             net::decode_message(net::encode_message(message)).value();
         if (const auto* sent = std::get_if<core::done_call>(&message))
         {
-            const auto& received = std::get<core::done_call>(decoded).statement;
-            EXPECT_EQ(received.server, sent->statement.server);
-            EXPECT_EQ(received.started, sent->statement.started);
-            EXPECT_EQ(received.leaving, sent->statement.leaving);
-            EXPECT_EQ(received.retry_after, sent->statement.retry_after);
+            const auto& received = std::get<core::done_call>(decoded).notice;
+            EXPECT_EQ(received.server, sent->notice.server);
+            EXPECT_EQ(received.started, sent->notice.started);
+            EXPECT_EQ(received.leaving, sent->notice.leaving);
+            EXPECT_EQ(received.retry_after, sent->notice.retry_after);
         }
         if (const auto* sent = std::get_if<core::gossip>(&message))
         {
@@ -139,7 +139,7 @@
         net::decode_message(nlohmann::json::to_cbor(earlier_release::done_call))
             .value();
     EXPECT_EQ(std::get<core::done_call>(done).latency, 5ms);
-    EXPECT_TRUE(std::get<core::done_call>(done).statement.is_empty());
+    EXPECT_TRUE(std::get<core::done_call>(done).notice.is_empty());
     const auto gossip =
         net::decode_message(nlohmann::json::to_cbor(earlier_release::gossip))
             .value();
@@ -156,7 +156,7 @@
         {"specbook", 3}, {7, 9}, core::send_outcome::succeeded, 5ms};
     EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(done)),
               earlier_release::done_call);
-    done.statement = {"i-4", 5, true};
+    done.notice = {"i-4", 5, true};
     core::gossip gossip;
     gossip.incarnation = 5;
     gossip.revision = 17;
@@ -224,12 +224,12 @@
     }
     const auto decoded =
         net::decode_message(nlohmann::json::to_cbor(message)).value();
-    EXPECT_EQ(std::get<core::done_call>(decoded).statement.retry_after,
+    EXPECT_EQ(std::get<core::done_call>(decoded).notice.retry_after,
               core::max_hold);
     core::done_call done{{"specbook", 3}, {7, 9}, core::send_outcome::shed, {}};
-    done.statement = {"i-4", 5, false, 1500001us};
+    done.notice = {"i-4", 5, false, 1500001us};
     const auto rounded = net::decode_message(net::encode_message(done)).value();
-    EXPECT_EQ(std::get<core::done_call>(rounded).statement.retry_after,
+    EXPECT_EQ(std::get<core::done_call>(rounded).notice.retry_after,
               core::duration(1501ms));
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -438,13 +438,13 @@
         std::uint64_t{boost::asio::ip::make_address_v4(peer_address).to_uint()}
             << 32U,
         1};
-    report.statement = {"s0", 4, true};
+    report.notice = {"s0", 4, true};
     this->send_as_peer(1, report);
-    report.statement = {"s1", 1, true};
+    report.notice = {"s1", 1, true};
     this->send_as_peer(1, report);
     EXPECT_TRUE(this->wait_until_marked(1, {"s1", 1}));
     EXPECT_FALSE(this->is_marked(1, {"s0", 4}));
-    report.statement = {"s0", 5, true};
+    report.notice = {"s0", 5, true};
     this->send_as_peer(1, report);
     EXPECT_TRUE(this->wait_until_marked(1, {"s0", 5}));
     const auto learned = this->on_thread(
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -275,9 +275,9 @@
                                 90ms, {"s3", 5, true});
     const auto& done = std::get<core::done_call>(this->sent.back().message);
     EXPECT_EQ(this->sent.back().recipient, this->owner_of(first));
-    EXPECT_EQ(done.statement.server, "s3");
-    EXPECT_EQ(done.statement.started, 5U);
-    EXPECT_TRUE(done.statement.leaving);
+    EXPECT_EQ(done.notice.server, "s3");
+    EXPECT_EQ(done.notice.started, 5U);
+    EXPECT_TRUE(done.notice.leaving);
 }
 
 // Guards against a report that arrives with a repeat and keeps a server that
@@ -293,7 +293,7 @@
     const auto hold_at = [this](std::size_t index)
     {
         return std::get<core::done_call>(this->sent.at(index).message)
-            .statement.retry_after;
+            .notice.retry_after;
     };
     ASSERT_GE(this->sent.size(), first + 4);
     EXPECT_GT(hold_at(first), 390ms);
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -1,5 +1,5 @@
 #include <gtest/gtest.h>
-#include <medlarbarrow/core/leaving_news.hpp>
+#include <medlarbarrow/core/recent_leaving_marks.hpp>
 #include <rapidcheck/gtest.h>
 
 using namespace medlarbarrow;
@@ -247,7 +247,7 @@
 // its own has ended, and against a new run whose own word is ignored.
 TEST_F(a_registry_with_a_leaving_run_of_unknown_start, takes_no_late_news)
 {
-    const auto passed_on = core::leaving_word::passed_on;
+    const auto passed_on = core::mark_origin::other_instance;
     this->announce_run(1);
     this->registry.tick(start + 10s);
     EXPECT_FALSE(this->registry.mark_leaving({"e", 0}, start + 20s, passed_on));
@@ -329,14 +329,14 @@
 }
 
 /// Given some runs to pass on.
-class leaving_news : public testing::Test
+class recent_leaving_marks : public testing::Test
 {
 protected:
-    core::leaving_news news;
+    core::recent_leaving_marks news;
 };
 
 // Guards against a run that is passed on for ever, or not at all.
-TEST_F(leaving_news, is_passed_on_for_a_limited_time)
+TEST_F(recent_leaving_marks, is_passed_on_for_a_limited_time)
 {
     this->news.add({"a", 5}, start);
     ASSERT_EQ(this->news.take(start + 1s).size(), 1U);
@@ -346,7 +346,7 @@
 
 // Guards against a message that exceeds a datagram, and against runs that never
 // get their turn when many servers leave at once.
-TEST_F(leaving_news, takes_turns_in_messages_of_limited_size)
+TEST_F(recent_leaving_marks, takes_turns_in_messages_of_limited_size)
 {
     constexpr std::size_t runs = 40;
     for (std::size_t index = 0; index < runs; ++index)
@@ -371,7 +371,7 @@
 
 // Guards against memory that grows while servers leave faster than gossip can
 // tell, and against dropping the newest.
-TEST_F(leaving_news, keeps_a_bounded_number_of_runs)
+TEST_F(recent_leaving_marks, keeps_a_bounded_number_of_runs)
 {
     for (std::size_t index = 0; index < 1000; ++index)
     {
--- a/tests/service_owners_test.cpp
+++ b/tests/service_owners_test.cpp
@@ -60,7 +60,7 @@
     /// Asks for the first server on behalf of an instance. Whether it was
     /// granted; the grant is then given up, with the statement.
     bool grants_s0_to(std::uint64_t from,
-                      const core::server_statement& stated = {})
+                      const core::server_notice& stated = {})
     {
         core::place_request request;
         request.grant = {from, ++this->number};
@@ -71,7 +71,7 @@
         const core::place_answer answer = this->owners.request(
             this->shard, net::decision_scope::fleet, request);
         core::done_call end{this->shard, request.grant};
-        end.statement = stated;
+        end.notice = stated;
         this->owners.on_send_ended(end);
         return std::holds_alternative<core::placed>(answer);
     }
@@ -153,7 +153,7 @@
 TEST_F(an_owner_of_a_service, spares_an_instance_a_server_unknown_to_it)
 {
     // The instance does not know the start of the run.
-    const core::server_statement unknown{"s0", 0, false, 500ms};
+    const core::server_notice unknown{"s0", 0, false, 500ms};
     EXPECT_TRUE(this->grants_s0_to(instance, unknown));
     EXPECT_FALSE(this->grants_s0_to(instance));
     EXPECT_TRUE(this->grants_s0_to(instance + 1, unknown));
@@ -178,7 +178,7 @@
     ASSERT_TRUE(this->grants_s0_to(instance));
     core::done_call end{
         this->shard, {instance, ++this->number}, core::send_outcome::shed};
-    end.statement = {"s0", 1, false, 300ms};
+    end.notice = {"s0", 1, false, 300ms};
     this->owners.on_send_ended(end);
     EXPECT_FALSE(this->grants_s0_to(instance));
     std::this_thread::sleep_for(200ms);
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -16,12 +16,12 @@
 class a_shutdown : public testing::Test
 {
 protected:
-    bool may_send(core::duration after,
-                  bool repeatable,
-                  core::duration typical,
-                  core::duration time_to_deadline = 1h) const
+    bool can_finish(core::duration after,
+                    bool repeatable,
+                    core::duration typical,
+                    core::duration time_to_deadline = 1h) const
     {
-        return this->plan.may_send(
+        return this->plan.can_finish(
             {repeatable, typical, start + after + time_to_deadline},
             start + after);
     }
@@ -44,26 +44,26 @@
 // Guards against requests that reach a server and cannot end before the exit.
 TEST_F(a_shutdown, sends_only_what_can_end)
 {
-    EXPECT_TRUE(this->may_send(1s, true, 4s));
-    EXPECT_FALSE(this->may_send(2s, true, 4s));
-    EXPECT_TRUE(this->may_send(4900ms, true, 600ms));
-    EXPECT_FALSE(this->may_send(5s, true, 1ms));
+    EXPECT_TRUE(this->can_finish(1s, true, 4s));
+    EXPECT_FALSE(this->can_finish(2s, true, 4s));
+    EXPECT_TRUE(this->can_finish(4900ms, true, 600ms));
+    EXPECT_FALSE(this->can_finish(5s, true, 1ms));
 }
 
 // Guards against an order whose outcome stays unknown because it took slightly
 // longer than usual.
 TEST_F(a_shutdown, keeps_a_reserve_for_requests_that_may_not_be_repeated)
 {
-    EXPECT_TRUE(this->may_send(2s, true, 3s));
-    EXPECT_FALSE(this->may_send(2s, false, 3s));
-    EXPECT_TRUE(this->may_send(2s, false, 2s));
+    EXPECT_TRUE(this->can_finish(2s, true, 3s));
+    EXPECT_FALSE(this->can_finish(2s, false, 3s));
+    EXPECT_TRUE(this->can_finish(2s, false, 2s));
 }
 
 // Guards against the refusal of a request that is answered by its deadline.
 TEST_F(a_shutdown, sends_what_its_deadline_ends)
 {
-    EXPECT_TRUE(this->may_send(2s, false, 10s, 3s));
-    EXPECT_FALSE(this->may_send(2s, false, 10s, 4s));
+    EXPECT_TRUE(this->can_finish(2s, false, 10s, 3s));
+    EXPECT_FALSE(this->can_finish(2s, false, 10s, 4s));
 }
 
 // Guards against callers that wait although another instance could serve them.
@@ -100,7 +100,7 @@
         std::chrono::milliseconds(*rc::gen::inRange(0, 10'000));
     const core::time_point now =
         start + std::chrono::milliseconds(*rc::gen::inRange(0, 100'000));
-    if (plan.may_send({true, typical, core::time_point::max()}, now))
+    if (plan.can_finish({true, typical, core::time_point::max()}, now))
     {
         RC_ASSERT(now + typical <= plan.exit_at());
     }
