Ignore a repeated SIGTERM in medlard

Cause: any further signal during a shutdown stopped the control thread at once, and all requests that still ran with it. Platforms repeat SIGTERM.

A further SIGINT still ends the process at once, logged as stop_forced.

--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -671,26 +671,38 @@
             });
     }
 
-    // The first signal starts a graceful shutdown, the second one stops the
-    // process immediately.
+    // The first signal starts a graceful shutdown. The platform may repeat
+    // SIGTERM; that must not end requests. An operator at a terminal may insist
+    // with a further SIGINT, which stops the process immediately.
     void on_signal(int signal)
     {
-        log::write(log::level::info, "signal",
-                   {log::kv("number", signal),
-                    log::kv("graceful", !this->shutting_down)});
-        if (this->shutting_down)
+        if (this->shutting_down && signal == SIGINT)
         {
+            log::write(log::level::warning, "stop_forced", {});
             this->context.stop();
             return;
         }
+        if (this->shutting_down)
+        {
+            log::write(log::level::info, "stop_signal_repeated", {});
+        }
+        else
+        {
+            this->begin_shutdown(signal);
+        }
+        this->await_signal();
+    }
+
+    void begin_shutdown(int signal)
+    {
+        log::write(log::level::info, "signal", {log::kv("number", signal)});
         this->shutting_down = true;
         this->config_distribution.set_leaving();
         this->post_to_proxy(stop_serving{});
         this->stop_after(this->settings.shutdown_limit);
-        this->await_signal();
     }
 
-    // Time until the limit that on_signal() has set.
+    // Time until the limit that begin_shutdown() has set.
     std::chrono::milliseconds time_to_limit() const
     {
         return std::chrono::floor<std::chrono::milliseconds>(
--- a/programs/medlard_main.cpp
+++ b/programs/medlard_main.cpp
@@ -15,7 +15,7 @@
 enum class exit_status
 {
     ok = 0,
-    /// A second signal or the shutdown limit ended running requests.
+    /// A repeated SIGINT or the shutdown limit ended running requests.
     requests_aborted = 1,
     usage = 2,
     failed = 3
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -326,6 +326,42 @@
         return count;
     }
 
+    /// Sends a request to entry-1 that its server answers after `delay`, and
+    /// waits until it runs there.
+    std::future<response> start_running_request(std::chrono::milliseconds delay)
+    {
+        const std::string target =
+            fmt::format("/reports/1?delay_ms={}", delay.count());
+        auto running =
+            std::async(std::launch::async,
+                       [this, target]
+                       {
+                           return send_request(this->caller_port("entry-1"),
+                                               make_get(target));
+                       });
+        EXPECT_TRUE(eventually(
+            [&]
+            {
+                return this->has_reached_a_server(target);
+            }));
+        return running;
+    }
+
+    bool has_reached_a_server(const std::string& target) const
+    {
+        return std::any_of(this->servers.begin(), this->servers.end(),
+                           [&](const auto& named)
+                           {
+                               const auto journal = named.second->journal();
+                               return std::any_of(
+                                   journal.begin(), journal.end(),
+                                   [&](const standin::execution& run)
+                                   {
+                                       return run.target == target;
+                                   });
+                           });
+    }
+
     std::filesystem::path folder;
     std::chrono::milliseconds shutdown_limit{30'000};
     asio::io_context context;
@@ -547,28 +583,7 @@
         {
             return this->serves("entry-1");
         }));
-    std::future<response> running = std::async(
-        std::launch::async,
-        [this]
-        {
-            return send_request(this->caller_port("entry-1"),
-                                make_get("/reports/1?delay_ms=8000"));
-        });
-    ASSERT_TRUE(eventually(
-        [this]
-        {
-            return std::any_of(this->servers.begin(), this->servers.end(),
-                               [](const auto& named)
-                               {
-                                   const auto journal = named.second->journal();
-                                   return std::any_of(
-                                       journal.begin(), journal.end(),
-                                       [](const standin::execution& run)
-                                       {
-                                           return run.target.ends_with("=8000");
-                                       });
-                               });
-        }));
+    auto running = this->start_running_request(8s);
     this->instances.at("entry-1")->send(SIGTERM);
     const response received = running.get();
     EXPECT_EQ(received.status, 504U);
@@ -576,6 +591,41 @@
     EXPECT_EQ(this->instances.at("entry-1")->wait(), 0);
 }
 
+// Guards against a repeated SIGTERM that ends the instance with all that runs.
+TEST_F(fleet_that_takes_orders, a_repeated_sigterm_cuts_no_request)
+{
+    auto running = this->start_running_request(2s);
+    process& instance = *this->instances.at("entry-1");
+    instance.send(SIGTERM);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return instance.log().find("event=signal") != std::string::npos;
+        }));
+    instance.send(SIGTERM);
+    EXPECT_EQ(running.get().status, 200U);
+    EXPECT_EQ(instance.wait(), 0);
+    EXPECT_NE(instance.log().find("event=stop_signal_repeated"),
+              std::string::npos);
+}
+
+// Guards against an operator who cannot end an instance at once, and against an
+// exit status that hides the requests that were cut.
+TEST_F(fleet_that_takes_orders, a_repeated_sigint_ends_an_instance_at_once)
+{
+    auto running = this->start_running_request(8s);
+    process& instance = *this->instances.at("entry-1");
+    instance.send(SIGINT);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return instance.log().find("event=signal") != std::string::npos;
+        }));
+    instance.send(SIGINT);
+    EXPECT_EQ(instance.wait(), 1);
+    EXPECT_EQ(running.get().status, 0U);
+}
+
 // Guards against a server with a gray failure that keeps receiving requests
 // because it passes its health checks.
 TEST_F(a_running_fleet, ejects_a_failing_server_and_readmits_it)
