Say "unknown" when an earlier attempt may have run

Cause: when the body could not be sent a third time, the session looked at the last attempt alone. A request whose first server closed the connection and whose second one refused it was answered as "not run".

Change: the session looks at may_have_run, which covers all attempts.

--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -336,12 +336,10 @@
         core::attempt_result abandoned;
         abandoned.end = attempt_end::caller_gone;
         this->finish_attempt(abandoned);
-        const bool not_run =
-            this->previous_result->end == attempt_end::refused_not_run ||
-            this->previous_result->end == attempt_end::not_sent;
-        const result_code code = not_run ? result_code::server_shed
-                                         : result_code::server_closed_early;
-        co_await this->refuse({code, !not_run, {}});
+        const result_code code = this->may_have_run
+                                     ? result_code::server_closed_early
+                                     : result_code::server_shed;
+        co_await this->refuse({code, this->may_have_run, {}});
         co_return progress::ended;
     }
     const core::attempt_result result = co_await this->run_attempt(step);
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -1,3 +1,4 @@
+#include <boost/asio/read.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <tests/entry_fixture.hpp>
@@ -25,6 +26,26 @@
         this->backend->set_modes(modes);
     }
 
+    std::string make_order(std::string_view target)
+    {
+        return post(target, "drums",
+                    "Idempotency-Key: " +
+                        order_key(now().wall, ++this->last_order_number) +
+                        "\r\n");
+    }
+
+    /// Orders are accepted from a short time after the start.
+    void wait_for_orders()
+    {
+        ASSERT_TRUE(eventually(
+            [this]
+            {
+                return caller(this->port())
+                           .request(this->make_order("/orders/first"))
+                           .status() == 200U;
+            }));
+    }
+
     /// Checks everything that a refusal must contain.
     static void expect_refusal(const answer& received,
                                unsigned status,
@@ -45,6 +66,8 @@
         EXPECT_EQ(body.value("message", ""),
                   core::make_error_code(code).message());
     }
+
+    unsigned last_order_number = 0;
 };
 
 /// Its route has a deadline far beyond the time that a large body takes in any
@@ -103,26 +126,6 @@
             });
     }
 
-    std::string make_order(std::string_view target)
-    {
-        return post(target, "drums",
-                    "Idempotency-Key: " +
-                        order_key(now().wall, ++this->last_order_number) +
-                        "\r\n");
-    }
-
-    /// Orders are accepted from a short time after the start.
-    void wait_for_orders()
-    {
-        ASSERT_TRUE(eventually(
-            [this]
-            {
-                return caller(this->port())
-                           .request(this->make_order("/orders/first"))
-                           .status() == 200U;
-            }));
-    }
-
     /// A request on its way. The target tells its runs at the server apart.
     std::unique_ptr<caller> start_request(std::string_view text)
     {
@@ -186,7 +189,6 @@
     }
 
     std::atomic<bool> drained{false};
-    unsigned last_order_number = 0;
 };
 
 /// Its server has one slot, so that further requests wait.
@@ -214,6 +216,75 @@
     }
 };
 
+/// The test itself answers in place of the servers. The service may repeat each
+/// request.
+class entry_with_a_scripted_server : public entry_with_a_healthy_server
+{
+protected:
+    void SetUp() override
+    {
+        this->document->fleet.retry_fraction = 1.0;
+        this->start();
+        // A request whose server closed the connection is sent again only by
+        // an instance that takes orders too.
+        this->wait_for_orders();
+        // The retries that a service may make grow with its requests.
+        for (int count = 0; count < 10; ++count)
+        {
+            caller(this->port()).request(get("/reports/1"));
+        }
+        auto changed = std::make_shared<core::document>(*this->document);
+        ++changed->version;
+        // A request is sent to each server once. All have the same port.
+        auto& servers = changed->services.at(0).servers;
+        servers.at(0).name = "logbook-2";
+        servers.at(0).port = this->acceptor.local_endpoint().port();
+        for (const char* name : {"logbook-3", "logbook-4"})
+        {
+            servers.push_back(servers.at(0));
+            servers.back().name = name;
+        }
+        this->on_thread(
+            [&]
+            {
+                this->entry->apply_document(*changed);
+                return this->node->apply_document(changed, now());
+            });
+    }
+
+    /// Accepts a connection and reads at least `count` bytes from it.
+    tcp::socket accept_and_read(std::size_t count)
+    {
+        tcp::socket connection(this->server_io);
+        bool accepted = false;
+        this->acceptor.async_accept(connection,
+                                    [&](boost::system::error_code failure)
+                                    {
+                                        accepted = !failure;
+                                    });
+        this->server_io.restart();
+        this->server_io.run_for(event_timeout);
+        EXPECT_TRUE(accepted);
+        read(connection, count);
+        return connection;
+    }
+
+    static void read(tcp::socket& connection, std::size_t count)
+    {
+        std::string received(count, '\0');
+        boost::system::error_code failure;
+        asio::read(connection, asio::buffer(received), failure);
+        EXPECT_FALSE(failure) << failure.message();
+    }
+
+private:
+    asio::io_context server_io;
+
+protected:
+    tcp::acceptor acceptor{this->server_io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+};
+
 constexpr std::uint64_t large_body_bytes = 50'000'000;
 
 // Defined by the sanitizer's runtime; null in a build without sanitizer.
@@ -382,6 +453,29 @@
                    core::result_code::server_connect_failed, "not-run");
 }
 
+// Guards against the outcome "not run" on the evidence of the last attempt
+// alone: an earlier one may have run at its server, and the body is too large
+// to be sent a third time.
+TEST_F(entry_with_a_scripted_server,
+       says_not_run_only_when_no_attempt_can_have_run)
+{
+    constexpr std::size_t first_bytes = 10'000;
+    constexpr std::size_t unrepeatable_bytes = 200'000;
+    const std::string upload = post("/reports/1", std::string(400'000, 'b'));
+    caller connection(this->port());
+    connection.send(upload.substr(0, first_bytes));
+    this->accept_and_read(first_bytes / 2).close();
+    tcp::socket second = this->accept_and_read(first_bytes / 2);
+    connection.send(upload.substr(first_bytes, unrepeatable_bytes));
+    read(second, unrepeatable_bytes / 2);
+    asio::write(second, asio::buffer(std::string_view(
+                            "HTTP/1.1 503 Service Unavailable\r\n"
+                            "Medlar-Not-Run: 1\r\nContent-Length: 0\r\n"
+                            "Connection: close\r\n\r\n")));
+    expect_refusal(connection.receive(), 502,
+                   core::result_code::server_closed_early, "unknown");
+}
+
 // Guards against an answer that reaches the wrong caller when many connections
 // to the server end late, early or with surplus bytes.
 TEST_F(entry_with_a_healthy_server, never_sends_an_answer_to_another_caller)
