Count answered requests as finished at the end of a shutdown

Cause: a drain ended when all connections were closed. A connection whose caller keeps it open after its answer is closed up to 1 s later, and one whose order still runs at its server stays open until that answers. If the shutdown limit came first, medlard exited with status 1 although all callers had their answers.

Change: from the plan's exit on, a connection that has answered all its requests no longer holds up the end of the drain. It still lingers until the process ends.

Measured: both new tests fail on the code before: entry_test: the drain took 10.997 s, limit 2 s fleet_test: instance.wait() Which is: 1, expected 0 Both pass now, with the other tests of entry_test (26).

--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ssl/context.hpp>
@@ -224,10 +225,16 @@
     this->check_drained();
 }
 
-// Reports the end of a drain when no session is left.
+// Reports the end of a drain when no session is left, or at its end when all
+// requests have been answered.
 void entry::state::check_drained()
 {
-    if (!this->draining || !this->sessions.empty() || !this->drained)
+    const auto is_done = [this](const session* open_session)
+    {
+        return this->exiting && open_session->has_answered_all();
+    };
+    if (!this->draining || !this->drained ||
+        !std::all_of(this->sessions.begin(), this->sessions.end(), is_done))
     {
         return;
     }
@@ -235,6 +242,7 @@
     this->sweep_timer.cancel();
     this->waiting_timer.cancel();
     this->running_timer.cancel();
+    this->exit_timer.cancel();
     const auto callback = std::exchange(this->drained, nullptr);
     callback();
 }
@@ -292,6 +300,14 @@
     }
 }
 
+// From now on the drain does not wait for callers that have their answer and
+// keep their connections open.
+void entry::state::begin_exit()
+{
+    this->exiting = true;
+    this->check_drained();
+}
+
 core::result<std::unique_ptr<entry>>
 entry::create(asio::io_context& io,
               const config::settings& settings,
@@ -383,6 +399,8 @@
                        &state::end_waiting);
     this->self->run_at(this->self->running_timer, plan.running_ended_at(),
                        &state::end_running);
+    this->self->run_at(this->self->exit_timer, plan.exit_at(),
+                       &state::begin_exit);
     for (state::session* session : this->self->sessions)
     {
         session->connection().drain();
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -105,7 +105,8 @@
     /// Stops accepting, finishes all requests and closes connections as they
     /// become idle. Follows the plan for requests that come too late, that
     /// wait for a server at its end, or that still run then. Calls `drained`
-    /// once when all connections are closed.
+    /// once when all connections are closed, or from the plan's exit on when
+    /// all requests have been answered.
     void drain(const core::shutdown_plan& plan, std::function<void()> drained);
 
     /// Sets a callback that runs on the entry's thread whenever a request has
--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -119,6 +119,8 @@
             this->caller->reset();
         }
     }
+    this->closing = true;
+    this->shared->check_drained();
     co_await this->caller->close();
 }
 
@@ -435,6 +437,7 @@
                    {
                        self->cut_answered = true;
                        self->cut_changed.notify();
+                       self->shared->check_drained();
                    });
 }
 
--- a/medlarbarrow/net/entry_state.hpp
+++ b/medlarbarrow/net/entry_state.hpp
@@ -22,7 +22,7 @@
         : io(context), settings(entry_settings), node(decisions),
           send(std::move(send_to_peers)), acceptor(context),
           sweep_timer(context), waiting_timer(context), running_timer(context),
-          capacity_changed(context.get_executor()),
+          exit_timer(context), capacity_changed(context.get_executor()),
           servers(context.get_executor(), entry_settings.bounds)
     {
     }
@@ -41,6 +41,7 @@
                 void (state::*action)());
     void end_waiting();
     void end_running();
+    void begin_exit();
     std::uint64_t body_limit_of(const std::string& route) const;
 
     asio::io_context& io;
@@ -54,6 +55,7 @@
     asio::steady_timer sweep_timer;
     asio::steady_timer waiting_timer; ///< runs end_waiting() in a drain
     asio::steady_timer running_timer; ///< runs end_running() in a drain
+    asio::steady_timer exit_timer;    ///< runs begin_exit() in a drain
     signal capacity_changed; ///< a connection ended or drain() was called
     upstream servers;
     entry_counters counts;
@@ -63,6 +65,7 @@
     bool draining = false;
     std::optional<core::shutdown_plan> plan; ///< set by drain()
     bool sending_ended = false; ///< nothing is sent to servers any more
+    bool exiting = false;       ///< sessions that have answered do not count
     std::function<void()> drained;
 };
 
@@ -87,6 +90,13 @@
         return *this->caller;
     }
 
+    /// True when all requests of the connection have ended and it is being
+    /// closed, or when end_running() has answered the last one.
+    bool has_answered_all() const
+    {
+        return this->closing || this->cut_answered;
+    }
+
     /// Answers the request that runs at a server, if any, without its server.
     void end_running();
 
@@ -135,6 +145,7 @@
     std::shared_ptr<attempt_channel> channel; ///< set during an attempt
     bool cut = false;          ///< end_running() answers the last request
     bool cut_answered = false; ///< that answer has been written
+    bool closing = false;      ///< waits for the caller to close as well
     signal cut_changed;
 };
 
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -111,17 +111,18 @@
 class entry_that_drains : public entry_with_a_healthy_server
 {
 protected:
-    void drain(std::chrono::seconds limit = std::chrono::seconds(30))
+    void drain(std::chrono::seconds limit = std::chrono::seconds(30),
+               milliseconds exit_margin = milliseconds(0))
     {
         this->on_thread(
-            [this, limit]
+            [this, limit, exit_margin]
             {
-                this->entry->drain(
-                    core::shutdown_plan(core::boot_clock::now(), limit, {}),
-                    [this]
-                    {
-                        this->drained = true;
-                    });
+                this->entry->drain(core::shutdown_plan(core::boot_clock::now(),
+                                                       limit, exit_margin),
+                                   [this]
+                                   {
+                                       this->drained = true;
+                                   });
                 return 0;
             });
     }
@@ -822,6 +823,36 @@
     EXPECT_FALSE(this->backend->journal().back().cancelled);
 }
 
+// Guards against an instance that counts requests as cut at its limit, although
+// it has answered them, because their callers keep their connections open or
+// the server still runs an order.
+TEST_F(entry_that_drains, ends_in_time_when_callers_keep_their_connections)
+{
+    constexpr std::chrono::seconds limit(2);
+    constexpr milliseconds exit_margin(600);
+    this->wait_for_orders();
+    this->set_mode(&standin::server_faults::hang);
+    const auto reading = this->start_request(get("/reports/1"));
+    const auto ordering = this->start_request(this->make_order("/orders/1"));
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->has_reached_the_server("/reports/1") &&
+                   this->has_reached_the_server("/orders/1");
+        }));
+    const auto start = std::chrono::steady_clock::now();
+    this->drain(limit, exit_margin);
+    EXPECT_EQ(reading->receive().status(), 504U);
+    EXPECT_FALSE(this->drained);
+    EXPECT_EQ(ordering->receive().status(), 504U);
+    EXPECT_TRUE(eventually(
+        [this]
+        {
+            return this->drained.load();
+        }));
+    EXPECT_LT(std::chrono::steady_clock::now() - start, limit);
+}
+
 // Guards against requests that wait for a server when the drain ends and are
 // cut without an answer, and against one that reaches a server so late.
 TEST_F(entry_that_drains_with_one_slot, refuses_the_requests_that_wait)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -591,6 +591,37 @@
     EXPECT_EQ(this->instances.at("entry-1")->wait(), 0);
 }
 
+// Guards against an exit status that reports requests as cut although all were
+// answered, because a caller keeps its connection open after its answer.
+TEST_F(a_running_fleet, a_caller_that_stays_connected_is_no_cut_request)
+{
+    this->shutdown_limit = 2s;
+    this->instances.erase("entry-1");
+    this->start("entry-1");
+    ASSERT_TRUE(eventually(
+        [this]
+        {
+            return this->serves("entry-1");
+        }));
+    const std::string target = "/reports/1?delay_ms=8000";
+    asio::io_context caller_context;
+    asio::ip::tcp::socket caller(caller_context);
+    caller.connect(
+        {asio::ip::make_address("127.0.0.1"), this->caller_port("entry-1")});
+    asio::write(caller, asio::buffer(make_get(target)));
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return this->has_reached_a_server(target);
+        }));
+    this->instances.at("entry-1")->send(SIGTERM);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> answer;
+    http::read(caller, buffer, answer);
+    EXPECT_EQ(answer.result_int(), 504U);
+    EXPECT_EQ(this->instances.at("entry-1")->wait(), 0);
+}
+
 // Guards against a repeated SIGTERM that ends the instance with all that runs.
 TEST_F(fleet_that_takes_orders, a_repeated_sigterm_cuts_no_request)
 {
