--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -4,14 +4,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <fstream>
-#include <medlarbarrow/config/document.hpp>
 #include <medlarbarrow/core/detection.hpp>
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/overloaded.hpp>
 #include <medlarbarrow/core/spread.hpp>
 #include <medlarbarrow/net/admin.hpp>
 #include <medlarbarrow/net/codec.hpp>
+#include <medlarbarrow/net/document_file.hpp>
 #include <medlarbarrow/net/entry.hpp>
 #include <medlarbarrow/net/instance.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -19,7 +18,6 @@
 #include <medlarbarrow/net/metrics.hpp>
 #include <medlarbarrow/net/peers.hpp>
 #include <medlarbarrow/net/platform.hpp>
-#include <sstream>
 #include <thread>
 #include <variant>
 
@@ -96,29 +94,6 @@
     return {settings.name, static_cast<std::uint64_t>(milliseconds.count())};
 }
 
-/// Reads a document from a file and logs each fault in it.
-core::result<core::document> read_document_file(const std::string& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf()))
-    {
-        return make_error_code(core::result_code::file_unreadable);
-    }
-    auto parsed = config::parse_document(text.str());
-    if (const auto* faults = std::get_if<config::problems>(&parsed))
-    {
-        for (const config::problem& fault : faults->items)
-        {
-            log::write(log::level::error, "document_fault",
-                       {log::kv("path", fault.path),
-                        log::kv("message", fault.message)});
-        }
-        return faults->code;
-    }
-    return std::get<core::document>(std::move(parsed));
-}
-
 /// Event name of a detection event in the log.
 std::string name_of(core::detection_event_kind kind)
 {
