Use no connection that was opened to an earlier run of a server

Connections were kept by address and port. A request for a new run of a server could go over one that the earlier run still held, and what that run then stated (that it leaves, or wants no requests for a time) was recorded for the new one, which got no requests until its next restart. The start of the run is a part of the key now.

use_no_connection_to_an_earlier_run_of_the_server (upstream_test) fails with the earlier key: 2 connections instead of 3.

--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -75,6 +75,9 @@
     /// Name of the only server that may run the request; a different server at
     /// the same address refuses it. Empty: any server may run it.
     std::string expected_server{};
+    /// Start of the server's run in Unix milliseconds; 0: unknown. The request
+    /// uses no connection that was opened to another run at the same address.
+    std::uint64_t server_started = 0;
 };
 
 /// The request has ended and needs no refusal: its answer has been forwarded or
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -239,6 +239,7 @@
     core::step_send step;
     step.service = this->service;
     step.server = announced->server;
+    step.server_started = run.started;
     step.deadline = this->deadline;
     step.expected_server = action.server;
     current.active_send = std::make_shared<send>(
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <medlarbarrow/net/idle_socket.hpp>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/upstream_state.hpp>
@@ -167,9 +168,10 @@
 }
 
 std::shared_ptr<upstream::server_pool>
-upstream::pool_of(const core::backend_server& server)
+upstream::pool_of(const core::step_send& step)
 {
-    const std::string key = server.address + " " + std::to_string(server.port);
+    const std::string key = fmt::format("{} {} {}", step.server.address,
+                                        step.server.port, step.server_started);
     std::shared_ptr<server_pool>& pool = this->pools[key];
     if (!pool)
     {
@@ -523,7 +525,7 @@
         co_return not_sent;
     }
     const auto current = std::make_shared<exchange>(
-        this->executor, this->pool_of(step.server), this->counts);
+        this->executor, this->pool_of(step), this->counts);
     const callback_guard guard(caller);
     caller.on_disconnect = [current, keep_answer = step.keep_answer]
     {
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -150,7 +150,7 @@
     struct exchange;
     class sender_scope;
 
-    std::shared_ptr<server_pool> pool_of(const core::backend_server& server);
+    std::shared_ptr<server_pool> pool_of(const core::step_send& step);
     std::size_t share_of(const core::backend_server& server) const noexcept;
     asio::awaitable<bool> acquire(const core::step_send& step,
                                   exchange& current,
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -450,6 +450,22 @@
     }
 }
 
+// Guards against a request, and what its answer states about the server, that
+// goes to an earlier run at the same address, which may still hold connections.
+TEST_F(attempts, use_no_connection_to_an_earlier_run_of_the_server)
+{
+    this->servers.set_max_instances(180); // 2 connections, so they are reused
+    this->step.server_started = 1;
+    for (int count = 0; count < 4; ++count)
+    {
+        EXPECT_EQ(this->run("/a").end, attempt_end::answered);
+    }
+    ASSERT_EQ(this->backend.connections_accepted(), 2U);
+    this->step.server_started = 2;
+    EXPECT_EQ(this->run("/a").end, attempt_end::answered);
+    EXPECT_EQ(this->backend.connections_accepted(), 3U);
+}
+
 // Guards against opening more connections than this instance's share of those
 // that the server accepts.
 TEST_F(attempts, keep_to_their_share_of_connections)
