--- a/tests/placement_floor_test.cpp
+++ b/tests/placement_floor_test.cpp
@@ -138,10 +138,11 @@
     return played;
 }
 
-// Guards against servers that recover together after a short fault and stay
-// without work until their suspicion has decayed, while the others are
-// overloaded and fail.
-TEST(a_service_after_a_short_fault_of_many_servers, gives_them_work_soon)
+namespace
+{
+
+// Plays the service with each number of servers and share of failures.
+void expect_work_after(duration strike)
 {
     struct hit
     {
@@ -150,32 +151,55 @@
     };
     for (const hit& affected : {hit{18, 12}, hit{18, 6}, hit{64, 24}})
     {
-        for (const duration strike :
-             std::initializer_list<duration>{300ms, 500ms, 800ms, 2s})
+        for (const double failures : {0.3, 0.5})
         {
-            for (const double failures : {0.3, 0.5})
+            for (const bool repeatable : {true, false})
             {
-                for (const bool repeatable : {true, false})
+                scenario played = struck_service(
+                    affected.servers, affected.struck, strike, failures);
+                if (!repeatable)
                 {
-                    scenario played = struck_service(
-                        affected.servers, affected.struck, strike, failures);
-                    if (!repeatable)
-                    {
-                        played.kinds = {order};
-                        played.kinds.front().share = 1.0;
-                    }
-                    const floor_report report = play(played);
-                    const std::string label = fmt::format(
-                        "{} of {} servers for {} ms, then {} of the sends to "
-                        "the others fail, {}: ",
-                        affected.struck, affected.servers, strike / 1ms,
-                        failures, repeatable ? "mixed work" : "orders");
-                    EXPECT_EQ(report.violations, 0U)
-                        << label << describe(report);
-                    EXPECT_LE(report.below_while_failing, report.spans / 200)
-                        << label << describe(report);
+                    played.kinds = {order};
+                    played.kinds.front().share = 1.0;
                 }
+                const floor_report report = play(played);
+                const std::string label = fmt::format(
+                    "{} of {} servers for {} ms, then {} of the sends to "
+                    "the others fail, {}: ",
+                    affected.struck, affected.servers, strike / 1ms, failures,
+                    repeatable ? "mixed work" : "orders");
+                EXPECT_EQ(report.violations, 0U) << label << describe(report);
+                EXPECT_LE(report.below_while_failing, report.spans / 200)
+                    << label << describe(report);
             }
         }
     }
 }
+
+} // namespace
+
+// Guards against servers that recover together after a short fault and stay
+// without work until their suspicion has decayed, while the others are
+// overloaded and fail.
+TEST(a_service_after_a_short_fault_of_many_servers,
+     gives_them_work_after_300_ms)
+{
+    expect_work_after(300ms);
+}
+
+TEST(a_service_after_a_short_fault_of_many_servers,
+     gives_them_work_after_500_ms)
+{
+    expect_work_after(500ms);
+}
+
+TEST(a_service_after_a_short_fault_of_many_servers,
+     gives_them_work_after_800_ms)
+{
+    expect_work_after(800ms);
+}
+
+TEST(a_service_after_a_short_fault_of_many_servers, gives_them_work_after_2_s)
+{
+    expect_work_after(2s);
+}
