Keep what is known of crashing requests over a change of the owner

Cause: the owner of a shard was the only one that counted crashes.

Change: an instance keeps one record for all shards (core/crash_records), and the record outlives its owner in four ways: the instance that saw the connection end keeps the crash itself and tells the next owner in rank at once; gossip carries requests that have crashed two servers, also to an instance that has just started; an instance that stops hands all it knows to the others.

A record that reaches further must not block proper requests. A lost connection is no proof of a crash, so a crash no longer counts once its server sends something on a connection that is older than the crash. Ends of sends report the age of the connection for that. Bytes that are no answer come from a server that lives, so they are no crash either. A block that may still be refuted is answered 503 with a time to come back; afterwards 403.

--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -57,15 +57,16 @@
     double load = 0.0;       ///< of the shard, see placement::load()
 };
 
-/// Reports to the owner how a granted send ended. `took` is the latency, or
-/// zero if there was no answer.
+/// Reports to the owner how a granted send ended.
 struct done_call
 {
     shard_id shard;
     grant_id grant;
     send_outcome outcome = send_outcome::cancelled;
-    duration latency{};
-    server_notice notice{}; ///< of the server, in its answer
+    duration latency{};        ///< zero if there was no answer
+    server_notice notice{};    ///< of the server, in its answer
+    duration connection_age{}; ///< see send_end
+    duration age{};            ///< time since the send ended
 };
 
 /// Acknowledges a done_call.
@@ -75,14 +76,20 @@
     std::uint32_t shard = 0;  ///< number of the shard
 };
 
-/// Tells the owner of a shard that a request has crashed a server of another
-/// shard of the service.
+/// Tells an instance that a request has crashed a server: the owners of the
+/// other shards of the service, and the one that is next to own the shard.
 struct shard_crash_report
 {
-    shard_id shard; ///< of the receiver
+    shard_id shard; ///< that the receiver owns, or may own next
     crash_event crash;
 };
 
+/// What the sender knows of requests that may have crashed servers.
+struct crash_suspects
+{
+    std::vector<crash_suspect> suspects;
+};
+
 /// Asks an instance that reads the source to send source updates.
 struct subscribe
 {
@@ -108,6 +115,7 @@
                                    place_reply,
                                    done_call,
                                    done_reply,
-                                   shard_crash_report>;
+                                   shard_crash_report,
+                                   crash_suspects>;
 
 } // namespace medlarbarrow::core
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -111,6 +111,9 @@
     /// For how long a server that refused the request as not run wants nothing
     /// from this instance.
     std::optional<duration> retry_after{};
+    /// Age of the connection at the end if the server lived then, see send_end;
+    /// zero otherwise.
+    duration connection_age{};
     /// Not sent, because the caller's side withheld the request from the
     /// server; says nothing about the server.
     bool withheld = false;
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -55,17 +55,6 @@
 constexpr double overdue_deviations = 4.0;
 constexpr milliseconds min_overdue_after{60};
 
-/// Number of different servers that a request must crash before it is blocked.
-constexpr std::size_t crash_limit = 3;
-/// Time after its last crash or trial in which a request stays blocked. Then
-/// one is tried again, since only a success lifts the block for good.
-constexpr seconds crash_block_time{60};
-/// Age from which crashes no longer count.
-constexpr seconds crash_record_lifetime{300};
-/// From this number of crash records on, those whose last crash is older than
-/// `crash_block_time` are dropped.
-constexpr std::size_t max_crash_records = 1024;
-
 constexpr milliseconds min_retry_after{100};
 
 /// Instances whose holds are kept. Above the number of instances of the largest
@@ -74,8 +63,11 @@
 
 } // namespace
 
-placement::placement(retry_limits configured_limits, std::uint64_t seed)
-    : repeats(configured_limits), random(seed)
+placement::placement(retry_limits configured_limits,
+                     std::uint64_t seed,
+                     std::shared_ptr<crash_records> known_crashes)
+    : repeats(configured_limits), random(seed),
+      crashes(std::move(known_crashes))
 {
 }
 
@@ -352,11 +344,7 @@
     {
         this->repeats.count_repeat(now);
     }
-    const auto crash = this->crashes.find(request.content_digest);
-    if (crash != this->crashes.end())
-    {
-        crash->second.last_trial = now;
-    }
+    this->crashes->record_trial(request.content_digest, now);
     placed answer{active.server, this->typical_duration(request), overdue};
     this->grants[request.grant] = std::move(active);
     return answer;
@@ -390,16 +378,18 @@
     return {code, std::max<duration>(2 * wait, min_retry_after)};
 }
 
-// Whether requests of this digest have crashed so many servers that they are
-// blocked. The block ends after a while for one request, whose grant renews it.
-bool placement::is_crashing(std::uint64_t content, time_point now) const
+// While the block is not settled, the caller is told when to come back.
+std::optional<place_refused>
+placement::refusal_if_blocked(const place_request& request,
+                              time_point now) const
 {
-    const auto record = this->crashes.find(content);
-    return record != this->crashes.end() &&
-           record->second.servers.size() >= crash_limit &&
-           now - std::max(record->second.last_crash,
-                          record->second.last_trial) <
-               crash_block_time;
+    const request_block block =
+        this->crashes->block_of(request.content_digest, now);
+    if (!block.in_force)
+    {
+        return std::nullopt;
+    }
+    return place_refused{result_code::request_blocked, block.unsettled_for};
 }
 
 place_answer placement::request(const place_request& request, time_point now)
@@ -428,9 +418,9 @@
 // Decides about a request that is neither running nor waiting.
 place_answer placement::decide(const place_request& request, time_point now)
 {
-    if (this->is_crashing(request.content_digest, now))
+    if (const auto refusal = this->refusal_if_blocked(request, now))
     {
-        return place_refused{result_code::request_blocked, {}};
+        return *refusal;
     }
     if (this->servers.empty())
     {
@@ -474,32 +464,26 @@
     return queued{};
 }
 
-// Adds the server to the crash record of the request's digest. Old records are
-// dropped once there are many.
-void placement::record_crash(const crash_event& crash, time_point now)
+// Records what the end of a send shows about the server and the request.
+void placement::record_evidence(const active_grant& ended,
+                                const send_end& end,
+                                time_point now)
 {
-    if (crash.content_digest == 0)
+    const time_point ended_at = now - end.age;
+    if (end.connection_age > duration(0))
     {
-        return;
-    }
-    if (this->crashes.size() >= max_crash_records)
-    {
-        std::erase_if(this->crashes,
-                      [now](const auto& entry)
-                      {
-                          return now - entry.second.last_crash >
-                                 crash_block_time;
-                      });
+        this->crashes->record_life_sign(
+            {ended.server, ended_at - end.connection_age, ended_at});
     }
-    crash_record& record = this->crashes[crash.content_digest];
-    if (now - record.last_crash > crash_record_lifetime)
+    if (end.outcome == send_outcome::succeeded)
     {
-        record.servers.clear();
+        this->crashes->record_success(ended.request.content_digest, ended_at);
     }
-    record.last_crash = now;
-    if (!contains_name(record.servers, crash.server))
+    if (end.may_be_crash())
     {
-        record.servers.push_back(crash.server);
+        this->new_crashes.push_back(
+            {ended.request.content_digest, ended.server, end.age});
+        this->crashes->record(this->new_crashes.back(), now);
     }
 }
 
@@ -508,12 +492,10 @@
     return std::exchange(this->new_crashes, {});
 }
 
-void placement::on_send_ended(const grant_id& id,
-                              send_outcome outcome,
-                              duration latency,
-                              time_point now)
+void placement::on_send_ended(const send_end& end, time_point now)
 {
-    const auto active = this->grants.find(id);
+    const send_outcome outcome = end.outcome;
+    const auto active = this->grants.find(end.grant);
     if (active == this->grants.end())
     {
         return;
@@ -532,12 +514,13 @@
         this->count_result(!succeeded, now);
         this->count_trial(ended, succeeded);
     }
+    this->record_evidence(ended, end, now);
     switch (outcome)
     {
     case send_outcome::succeeded:
     {
         work_time& measured = this->work_times[ended.request.work_kind];
-        const double sample = in_seconds(latency);
+        const double sample = in_seconds(end.latency);
         const double weight =
             std::max(min_sample_weight, 1.0 / (measured.samples + 1));
         measured.deviation +=
@@ -554,16 +537,12 @@
             server->second.failures_in_row = 0;
             this->lower_suspicion(server->second, success_factor, now);
         }
-        this->crashes.erase(ended.request.content_digest);
         break;
     }
     case send_outcome::failed:
         this->raise_suspicion(ended, failed_suspicion, "error answers", now);
         break;
     case send_outcome::connection_lost:
-        this->new_crashes.push_back(
-            {ended.request.content_digest, ended.server});
-        this->record_crash(this->new_crashes.back(), now);
         this->raise_suspicion(ended, broke_off_suspicion, "connection ended",
                               now);
         break;
@@ -590,7 +569,7 @@
                   {
                       return waiting.request.grant == id;
                   });
-    this->on_send_ended(id, send_outcome::cancelled, {}, now);
+    this->on_send_ended(send_end{id}, now);
 }
 
 // A request that runs far longer than its kind of work usually does raises the
@@ -616,7 +595,7 @@
     }
     for (const grant_id& id : expired)
     {
-        this->on_send_ended(id, send_outcome::cancelled, {}, now);
+        this->on_send_ended(send_end{id}, now);
     }
 }
 
@@ -672,11 +651,9 @@
                  this->make_refusal(result_code::deadline_unreachable, now)});
             continue;
         }
-        if (this->is_crashing(request.content_digest, now))
+        if (const auto refusal = this->refusal_if_blocked(request, now))
         {
-            answers.push_back(
-                {request.grant,
-                 place_refused{result_code::request_blocked, {}}});
+            answers.push_back({request.grant, *refusal});
             continue;
         }
         if (const auto refusal = this->refusal_if_turned_away(request, now))
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <medlarbarrow/core/crash_records.hpp>
 #include <medlarbarrow/core/registry.hpp>
 #include <medlarbarrow/core/repeat_budget.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
@@ -15,6 +16,7 @@
 #include <medlarbarrow/core/server_notice.hpp>
 #include <medlarbarrow/core/trial_pace.hpp>
 #include <medlarbarrow/core/work_spread.hpp>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -101,11 +103,25 @@
     double suspicion = 0.0; ///< suspicion after the change
 };
 
-/// A request whose server ended the connection without an answer.
-struct crash_event
+/// The end of a granted send, as the entry instance reports it.
+struct send_end
 {
-    std::uint64_t content_digest = 0;
-    std::string server;
+    grant_id grant;
+    send_outcome outcome = send_outcome::cancelled;
+    duration latency{}; ///< zero if there was no answer
+    /// Age of the connection if the server was seen to live at the end: it sent
+    /// the whole answer, or was still sending bytes that are none. Zero
+    /// otherwise.
+    duration connection_age{};
+    duration age{}; ///< time since the send ended
+
+    /// Whether the request may have crashed the server: the server has ended
+    /// the connection.
+    bool may_be_crash() const noexcept
+    {
+        return this->outcome == send_outcome::connection_lost &&
+               this->connection_age <= duration(0);
+    }
 };
 
 /// Grants the servers of one shard to requests. Each request gets the server
@@ -122,7 +138,11 @@
 class placement
 {
 public:
-    placement(retry_limits configured_limits, std::uint64_t seed);
+    /// The owners of several shards on one instance share the crash records.
+    placement(retry_limits configured_limits,
+              std::uint64_t seed,
+              std::shared_ptr<crash_records> known_crashes =
+                  std::make_shared<crash_records>());
 
     /// Replaces the retry budget.
     void set_limits(const retry_limits& new_limits);
@@ -139,10 +159,17 @@
     place_answer request(const place_request& request, time_point now);
 
     /// Records the end of a send and frees its slot.
+    void on_send_ended(const send_end& end, time_point now);
+
+    /// The same for an end at this moment, of whose connection nothing is
+    /// known.
     void on_send_ended(const grant_id& grant,
                        send_outcome outcome,
                        duration latency,
-                       time_point now);
+                       time_point now)
+    {
+        this->on_send_ended(send_end{grant, outcome, latency, {}, {}}, now);
+    }
 
     /// Records that a server has turned an instance away. Until the stated time
     /// has passed, no request of the instance gets that server.
@@ -158,12 +185,15 @@
 
     std::vector<placement_event> take_events();
 
-    /// Crashes recorded here since the last call. Owners of other shards of
-    /// the service get them, so that they count those of the whole fleet.
+    /// Crashes seen here since the last call. Owners of other shards of the
+    /// service get them, so that they count those of the whole fleet.
     std::vector<crash_event> take_crashes();
 
     /// Records a crash that another owner has seen.
-    void record_crash(const crash_event& crash, time_point now);
+    void record_crash(const crash_event& crash, time_point now)
+    {
+        this->crashes->record(crash, now);
+    }
 
     /// Running and waiting requests per slot of the trusted servers.
     double load(time_point now) const;
@@ -251,14 +281,6 @@
     void count_result(bool failed, time_point now);
     place_answer decide(const place_request& request, time_point now);
 
-    /// Crashes of servers by requests with one digest.
-    struct crash_record
-    {
-        std::vector<std::string> servers; ///< distinct, since the last success
-        time_point last_crash{};
-        time_point last_trial{}; ///< last grant to a request of the digest
-    };
-
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
     void decay_suspicion(server_state& server, time_point now) const;
     void raise_suspicion(const active_grant& failed,
@@ -336,7 +358,11 @@
     place_refused make_refusal(result_code code, time_point now) const;
     duration expected_wait(std::uint32_t rank, time_point now) const;
     void check_active_grants(time_point now);
-    bool is_crashing(std::uint64_t content, time_point now) const;
+    std::optional<place_refused>
+    refusal_if_blocked(const place_request& request, time_point now) const;
+    void record_evidence(const active_grant& ended,
+                         const send_end& end,
+                         time_point now);
     void sort_queue(time_point now);
 
     repeat_budget repeats;
@@ -351,7 +377,7 @@
     std::map<std::uint64_t, server_holds> holds;
     std::vector<queued_request> queue;
     std::unordered_map<std::uint32_t, work_time> work_times;
-    std::unordered_map<std::uint64_t, crash_record> crashes;
+    std::shared_ptr<crash_records> crashes;
     std::vector<crash_event> new_crashes;
     std::vector<placement_event> events;
 };
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -4,6 +4,8 @@
 #include <medlarbarrow/core/hash.hpp>
 #include <medlarbarrow/core/readers.hpp>
 #include <medlarbarrow/core/recent_leaving_marks.hpp>
+#include <medlarbarrow/net/admit_calls.hpp>
+#include <medlarbarrow/net/crash_exchange.hpp>
 #include <medlarbarrow/net/fleet.hpp>
 #include <medlarbarrow/net/fleet_codec.hpp>
 #include <medlarbarrow/net/log.hpp>
@@ -22,20 +24,12 @@
 using error_code = boost::system::error_code;
 using std::chrono::milliseconds;
 
-/// A call that gets no answer within this time is repeated, up to the limit of
-/// calls to one owner.
-constexpr milliseconds call_timeout{60};
-constexpr unsigned max_calls_per_owner = 2;
 constexpr milliseconds gossip_period{500};
 /// Gossip period while an instance knows no other one, and for join_duration
 /// after its start. If all processes were restarted, every instance is its own
 /// owner until it has heard of the others, and what they grant adds up.
 constexpr milliseconds join_period{100};
 constexpr std::chrono::seconds join_duration{2};
-/// For settle_duration after its start, an owner grants an account only this
-/// part of its burst, because other instances may not know this owner yet.
-constexpr std::chrono::seconds settle_duration{3};
-constexpr double settling_bucket_fill = 0.15;
 /// Member reports in a gossip message.
 constexpr std::size_t gossip_reports = 16;
 /// Member reports in a message from or to an instance that has just started.
@@ -78,16 +72,6 @@
 
 struct fleet::state
 {
-    /// An admission that waits for the answer of the account's owner.
-    struct admit_call_state
-    {
-        std::string account;
-        admit_handler handler;
-        core::instance_address owner = 0;
-        unsigned unanswered_calls = 0;
-        std::unique_ptr<asio::steady_timer> timer;
-    };
-
     state(asio::io_context& context,
           const fleet_settings& initial_settings,
           core::server_registry& registry,
@@ -108,19 +92,27 @@
                        initial_settings.retry_limits,
                        this->instance_id,
                        this->owner_handlers()),
+          crashes({this->members, this->shards, this->owned_shards.crashes(),
+                   address, this->sender()}),
           places({context, this->members, this->shards, this->owned_shards,
-                  address, this->instance_id,
-                  [this](core::instance_address recipient,
-                         const core::fleet_message& message)
+                  address, this->instance_id, this->sender(),
+                  [this](const core::shard_id& shard,
+                         const core::crash_event& crash,
+                         core::instance_address granted_by)
                   {
-                      this->send(recipient, message);
-                  }})
+                      this->crashes.on_lost_send(shard, crash, granted_by);
+                  }}),
+          admissions({context, this->members, address,
+                      this->callbacks.account_limit, this->sender()})
     {
         this->owned_shards.set_floor_share(initial_settings.floor_share);
     }
 
     service_owners::handlers owner_handlers();
 
+    /// Sends messages for the parts of this object.
+    crash_exchange::message_sender sender();
+
     udp::endpoint endpoint_of(core::instance_address address) const;
     void send(core::instance_address recipient,
               const core::fleet_message& message);
@@ -142,6 +134,8 @@
                     const core::done_reply& message);
     void on_message(core::instance_address sender,
                     const core::shard_crash_report& message);
+    void on_message(core::instance_address sender,
+                    const core::crash_suspects& message);
     void on_message(core::instance_address sender,
                     const core::subscribe& message);
     void on_message(core::instance_address sender,
@@ -161,14 +155,6 @@
     void send_place_answer(const core::grant_id& grant,
                            const core::shard_id& shard,
                            const core::place_answer& answer);
-    void report_crash(const core::shard_id& shard,
-                      const core::crash_event& crash);
-
-    void call_account_owner(std::uint64_t number);
-    void finish_admit(std::uint64_t number, const core::quota_answer& answer);
-    core::quota_answer decide_admission(const std::string& account,
-                                        double share);
-
     asio::io_context& io;
     fleet_settings settings;
     core::server_registry& servers;
@@ -178,7 +164,6 @@
     std::uint64_t instance_id; ///< address and incarnation, identifies grants
     core::time_point started = now();
     core::membership members;
-    core::quota_owner quotas;
     core::reader_selection source_readers;
     /// Revision of the newest source update that was sent.
     std::uint64_t announced_revision = 0;
@@ -192,11 +177,11 @@
     std::size_t seed_index = 0;
     unsigned gossip_rounds = 0;
     bool leaving = false;
-    std::uint64_t last_call_number = 0;
-    std::map<std::uint64_t, admit_call_state> admit_calls;
     core::shard_directory shards;
     service_owners owned_shards;
+    crash_exchange crashes;
     place_calls places;
+    admit_calls admissions;
     fleet_counters counter_values;
 };
 
@@ -224,6 +209,15 @@
     this->counter_values.bytes_sent += bytes.size();
 }
 
+crash_exchange::message_sender fleet::state::sender()
+{
+    return [this](core::instance_address recipient,
+                  const core::fleet_message& message)
+    {
+        this->send(recipient, message);
+    };
+}
+
 void fleet::state::receive()
 {
     this->socket.async_receive_from(
@@ -320,6 +314,7 @@
     if (peer)
     {
         this->send(*peer, this->make_gossip(true, report_count));
+        this->crashes.gossip_to(*peer);
     }
     const unsigned rounds_per_seed =
         joining ? join_rounds_per_seed_message : rounds_per_seed_message;
@@ -362,6 +357,11 @@
                                                         ? join_reports
                                                         : gossip_reports));
     }
+    // A new instance becomes the owner of shards once it is known.
+    if (sender_is_joining)
+    {
+        this->crashes.gossip_to(sender);
+    }
     if (message.revision > this->callbacks.revision())
     {
         this->callbacks.on_newer_revision(
@@ -471,54 +471,16 @@
         });
 }
 
-// Decides about an admission on this instance. `share` is the part of the
-// account's limit that this instance may grant.
-core::quota_answer fleet::state::decide_admission(const std::string& account,
-                                                  double share)
-{
-    auto limit = this->callbacks.account_limit(account);
-    if (!limit)
-    {
-        return {true, {}};
-    }
-    limit->owner_share = share;
-    if (!this->has_run_for(settle_duration))
-    {
-        limit->initial_fill = settling_bucket_fill;
-    }
-    return this->quotas.take(account, *limit, now());
-}
-
 void fleet::state::on_message(core::instance_address sender,
                               const core::admit_call& message)
 {
-    core::admit_reply reply;
-    reply.number = message.number;
-    reply.account_exists =
-        this->callbacks.account_limit(message.account).has_value();
-    if (reply.account_exists)
-    {
-        reply.answer = this->decide_admission(
-            message.account, this->members.live_fraction(now()));
-    }
-    this->send(sender, reply);
+    this->admissions.on_call(sender, message);
 }
 
 void fleet::state::on_message(core::instance_address sender,
                               const core::admit_reply& message)
 {
-    const auto it = this->admit_calls.find(message.number);
-    if (it == this->admit_calls.end() || it->second.owner != sender)
-    {
-        return;
-    }
-    core::quota_answer answer = message.answer;
-    if (!message.account_exists)
-    {
-        answer = this->decide_admission(it->second.account,
-                                        this->members.instance_fraction());
-    }
-    this->finish_admit(message.number, answer);
+    this->admissions.on_reply(sender, message);
 }
 
 service_owners::handlers fleet::state::owner_handlers()
@@ -533,7 +495,7 @@
     handlers.on_crash =
         [this](const core::shard_id& shard, const core::crash_event& crash)
     {
-        this->report_crash(shard, crash);
+        this->crashes.report_to_other_shards(shard, crash);
     };
     handlers.instance_fraction = [this]
     {
@@ -558,37 +520,16 @@
                                           this->owned_shards.load(shard)});
 }
 
-// Tells the owners of the other shards of the service, so that a request that
-// crashes servers is stopped wherever it comes next.
-void fleet::state::report_crash(const core::shard_id& shard,
-                                const core::crash_event& crash)
+void fleet::state::on_message(core::instance_address /*sender*/,
+                              const core::shard_crash_report& message)
 {
-    const std::uint32_t count = this->shards.count(shard.service);
-    for (std::uint32_t number = 0; number < count; ++number)
-    {
-        if (number == shard.number)
-        {
-            continue;
-        }
-        const core::shard_crash_report report{{shard.service, number}, crash};
-        const core::instance_address owner =
-            this->members.owners(core::owner_key(report.shard), 1, now())
-                .front();
-        if (owner == this->own_address)
-        {
-            this->owned_shards.record_crash(report);
-        }
-        else
-        {
-            this->send(owner, report);
-        }
-    }
+    this->crashes.on_message(message);
 }
 
 void fleet::state::on_message(core::instance_address /*sender*/,
-                              const core::shard_crash_report& message)
+                              const core::crash_suspects& message)
 {
-    this->owned_shards.record_crash(message);
+    this->crashes.on_message(message);
 }
 
 void fleet::state::on_message(core::instance_address sender,
@@ -641,49 +582,6 @@
     this->places.on_reply(sender, message);
 }
 
-// Sends the admit call to the account's owner. After max_calls_per_owner calls
-// without an answer, decides here with this instance's share of the limit.
-void fleet::state::call_account_owner(std::uint64_t number)
-{
-    const auto it = this->admit_calls.find(number);
-    if (it == this->admit_calls.end())
-    {
-        return;
-    }
-    admit_call_state& call = it->second;
-    if (call.unanswered_calls >= max_calls_per_owner)
-    {
-        this->members.suspect(call.owner, now());
-        ++this->counter_values.owners_passed_over;
-        ++this->counter_values.local_decisions;
-        this->finish_admit(
-            number, this->decide_admission(call.account,
-                                           this->members.instance_fraction()));
-        return;
-    }
-    ++call.unanswered_calls;
-    this->send(call.owner, core::admit_call{number, call.account});
-    run_after(*call.timer, call_timeout,
-              [this, number]
-              {
-                  this->call_account_owner(number);
-              });
-}
-
-void fleet::state::finish_admit(std::uint64_t number,
-                                const core::quota_answer& answer)
-{
-    const auto it = this->admit_calls.find(number);
-    if (it == this->admit_calls.end())
-    {
-        return;
-    }
-    admit_call_state call = std::move(it->second);
-    this->admit_calls.erase(it);
-    call.timer->cancel();
-    call.handler(answer);
-}
-
 core::result<std::unique_ptr<fleet>>
 fleet::create(asio::io_context& io,
               const fleet_settings& settings,
@@ -735,22 +633,7 @@
 
 void fleet::admit(const std::string& account, admit_handler handler)
 {
-    state& impl = *this->self;
-    const auto owners = impl.members.owners("account " + account, 1, now());
-    if (owners.front() == impl.own_address)
-    {
-        handler(
-            impl.decide_admission(account, impl.members.live_fraction(now())));
-        return;
-    }
-    const std::uint64_t number = ++impl.last_call_number;
-    state::admit_call_state call;
-    call.account = account;
-    call.handler = std::move(handler);
-    call.owner = owners.front();
-    call.timer = std::make_unique<asio::steady_timer>(impl.io);
-    impl.admit_calls.emplace(number, std::move(call));
-    impl.call_account_owner(number);
+    this->self->admissions.admit(account, std::move(handler));
 }
 
 core::grant_id fleet::place(const std::string& service,
@@ -780,12 +663,10 @@
     this->self->places.withdraw(grant);
 }
 
-void fleet::report_send_end(const core::grant_id& grant,
-                            core::send_outcome outcome,
-                            core::duration latency,
+void fleet::report_send_end(const core::send_end& end,
                             const core::server_notice& notice)
 {
-    this->self->places.report_send_end(grant, outcome, latency, notice);
+    this->self->places.report_send_end(end, notice);
 }
 
 void fleet::record_leaving(const core::leaving_run& run, leaving_source from)
@@ -821,6 +702,7 @@
         if (report.address != impl.own_address)
         {
             impl.send(report.address, message);
+            impl.crashes.hand_over_to(report.address);
         }
     }
 }
@@ -834,7 +716,7 @@
     impl.source_update_timer.cancel();
     impl.owned_shards.close();
     impl.places.close();
-    impl.admit_calls.clear();
+    impl.admissions.close();
 }
 
 std::size_t fleet::live_count() const
@@ -847,8 +729,11 @@
     fleet_counters counters = this->self->counter_values;
     const place_call_counters& places = this->self->places.counters();
     counters.calls_repeated += places.calls_repeated;
-    counters.owners_passed_over += places.owners_passed_over;
-    counters.local_decisions += places.local_decisions;
+    const admit_call_counters& admissions = this->self->admissions.counters();
+    counters.owners_passed_over +=
+        places.owners_passed_over + admissions.owners_passed_over;
+    counters.local_decisions +=
+        places.local_decisions + admissions.local_decisions;
     counters.second_shards_asked = places.second_shards_asked;
     return counters;
 }
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -117,9 +117,7 @@
 
     /// Reports to the owner how the send of a grant ended, and what the server
     /// stated about itself.
-    void report_send_end(const core::grant_id& grant,
-                         core::send_outcome outcome,
-                         core::duration latency,
+    void report_send_end(const core::send_end& end,
                          const core::server_notice& notice = {});
 
     /// Marks a run of a server as leaving and passes that on to the other
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -23,7 +23,8 @@
     done_reply = 7,
     subscribe = 8,
     source_update = 9,
-    shard_crash_report = 10
+    shard_crash_report = 10,
+    crash_suspects = 11
 };
 
 /// Kind of the answer in a place_reply. The numbers must not change either.
@@ -34,6 +35,9 @@
     refused = 3
 };
 
+/// Longer ages count as this one: a day.
+constexpr std::uint64_t max_age_ms = 86'400'000;
+
 std::int64_t to_ms(core::duration value)
 {
     return std::chrono::duration_cast<milliseconds>(value).count();
@@ -74,6 +78,13 @@
     return elements[index].get<std::uint64_t>();
 }
 
+/// Reads a time in milliseconds that messages of earlier releases lack.
+core::duration optional_age(const json& elements, std::size_t index)
+{
+    return milliseconds(std::min<std::uint64_t>(
+        optional_unsigned(elements, index), max_age_ms));
+}
+
 /// Starts the array of a message with its kind.
 json header(message_kind kind)
 {
@@ -185,8 +196,11 @@
     elements.push_back(static_cast<int>(message.outcome));
     elements.push_back(to_ms(message.latency));
     elements.push_back(message.shard.number);
-    // Few sends end with a notice, so it takes bytes only then.
-    if (!message.notice.is_empty())
+    // Few sends end with a notice, so it takes bytes only then. What follows it
+    // needs an empty one in its place.
+    const bool has_times =
+        to_ms(message.connection_age) > 0 || to_ms(message.age) > 0;
+    if (!message.notice.is_empty() || has_times)
     {
         elements.push_back(message.notice.server);
         elements.push_back(message.notice.started);
@@ -196,6 +210,11 @@
             std::chrono::ceil<milliseconds>(message.notice.retry_after)
                 .count());
     }
+    if (has_times)
+    {
+        elements.push_back(to_ms(message.connection_age));
+        elements.push_back(to_ms(message.age));
+    }
     return elements;
 }
 
@@ -214,6 +233,24 @@
     elements.push_back(message.shard.number);
     elements.push_back(message.crash.content_digest);
     elements.push_back(message.crash.server);
+    elements.push_back(to_ms(message.crash.age));
+    return elements;
+}
+
+json encode(const core::crash_suspects& message)
+{
+    json elements = header(message_kind::crash_suspects);
+    for (const core::crash_suspect& suspect : message.suspects)
+    {
+        // The digest, then two elements for each server.
+        json record = json::array({suspect.content_digest});
+        for (const core::suspected_crash& crash : suspect.crashes)
+        {
+            record.push_back(crash.server);
+            record.push_back(to_ms(crash.age));
+        }
+        elements.push_back(std::move(record));
+    }
     return elements;
 }
 
@@ -334,6 +371,34 @@
         std::chrono::duration_cast<milliseconds>(core::max_hold).count();
     message.notice.retry_after =
         milliseconds(std::min(optional_unsigned(elements, 10), max_hold_ms));
+    message.connection_age = optional_age(elements, 11);
+    message.age = optional_age(elements, 12);
+    return message;
+}
+
+core::shard_crash_report decode_shard_crash_report(const json& elements)
+{
+    return {{elements.at(1).get<std::string>(),
+             elements.at(2).get<std::uint32_t>()},
+            {elements.at(3).get<std::uint64_t>(),
+             elements.at(4).get<std::string>(), optional_age(elements, 5)}};
+}
+
+core::crash_suspects decode_crash_suspects(const json& elements)
+{
+    core::crash_suspects message;
+    for (std::size_t index = 1; index < elements.size(); ++index)
+    {
+        const json& record = elements.at(index);
+        core::crash_suspect suspect;
+        suspect.content_digest = record.at(0).get<std::uint64_t>();
+        for (std::size_t next = 1; next + 1 < record.size(); next += 2)
+        {
+            suspect.crashes.push_back({record.at(next).get<std::string>(),
+                                       optional_age(record, next + 1)});
+        }
+        message.suspects.push_back(std::move(suspect));
+    }
     return message;
 }
 
@@ -363,10 +428,9 @@
         return core::done_reply{elements.at(1).get<std::uint64_t>(),
                                 optional_element<std::uint32_t>(elements, 2)};
     case message_kind::shard_crash_report:
-        return core::shard_crash_report{{elements.at(1).get<std::string>(),
-                                         elements.at(2).get<std::uint32_t>()},
-                                        {elements.at(3).get<std::uint64_t>(),
-                                         elements.at(4).get<std::string>()}};
+        return decode_shard_crash_report(elements);
+    case message_kind::crash_suspects:
+        return decode_crash_suspects(elements);
     case message_kind::subscribe:
         return core::subscribe{elements.at(1).get<std::uint64_t>()};
     case message_kind::source_update:
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -181,10 +181,9 @@
     return held;
 }
 
-// Reports the end of the attempt's grant with what is known of its server.
-void gateway::state::session::report_end(attempt& current,
-                                         core::send_outcome outcome,
-                                         core::duration latency)
+// Reports the end of the attempt's send with what is known of its server; an
+// end without an outcome gives the grant back.
+void gateway::state::session::report_end(attempt& current, core::send_end end)
 {
     if (!current.grant)
     {
@@ -195,8 +194,8 @@
                                            {notice.server, notice.started});
     notice.retry_after =
         this->shared->holds.remaining(notice.server, notice.started, now());
-    this->shared->peers.report_send_end(*current.grant, outcome, latency,
-                                        notice);
+    end.grant = *current.grant;
+    this->shared->peers.report_send_end(end, notice);
     current.grant.reset();
 }
 
@@ -206,8 +205,7 @@
     attempt& current = this->attempts[action.number];
     if (!this->can_end(current))
     {
-        this->shared->peers.report_send_end(*current.grant,
-                                            core::send_outcome::cancelled, {});
+        this->shared->peers.report_send_end({*current.grant});
         current.grant.reset();
         this->flow->stop_sending(this->shutdown_refusal());
         this->flow->on_send_ended(action.number, core::send_result::not_sent,
@@ -231,7 +229,7 @@
         }
         current.ending = "not_usable_here";
         current.ended_at = now();
-        this->report_end(current, core::send_outcome::cancelled, {});
+        this->report_end(current, {});
         this->flow->on_send_ended(action.number, core::send_result::not_sent,
                                   now());
         return;
@@ -327,7 +325,11 @@
     const auto [end, outcome] = classify_send(result);
     current.ending = core::name_of(end);
     current.ended_at = now();
-    this->report_end(current, outcome, result.latency);
+    core::send_end report;
+    report.outcome = outcome;
+    report.latency = result.latency;
+    report.connection_age = result.connection_age;
+    this->report_end(current, report);
     if (this->flow)
     {
         if (result.withheld && !this->can_end(current))
@@ -353,7 +355,7 @@
     {
         this->shared->peers.withdraw(*current.grant);
     }
-    this->report_end(current, core::send_outcome::cancelled, {});
+    this->report_end(current, {});
 }
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -521,6 +521,11 @@
         co_return;
     }
     unsigned status = status_of(code);
+    if (code == result_code::request_blocked && retry_after > core::duration(0))
+    {
+        // Not settled: the request may be proper.
+        status = status_of(result_code::no_healthy_server);
+    }
     if (outcome_unknown && status != 504)
     {
         // The request may have run, so the status must promise nothing about
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -176,9 +176,7 @@
                                        const core::leaving_run& run);
     void on_answer_header(std::size_t number,
                           const core::attempt_result& result);
-    void report_end(attempt& current,
-                    core::send_outcome outcome,
-                    core::duration latency);
+    void report_end(attempt& current, core::send_end end);
     void on_send_end(std::size_t number, const core::attempt_result& result);
     void cancel(std::size_t number);
     asio::awaitable<void> deliver(std::size_t number);
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -360,9 +360,10 @@
     this->calls.erase(position);
     call.timer->cancel();
     call.second_timer->cancel();
-    if (std::holds_alternative<core::placed>(answer))
+    if (const auto* placed = std::get_if<core::placed>(&answer))
     {
-        this->grants[number] = {from.shard, from.owner};
+        this->grants[number] = {from.shard, from.owner, placed->server,
+                                call.request.content_digest};
     }
     call.handler(answer);
 }
@@ -384,19 +385,24 @@
                                     : call.targets[call.index]);
 }
 
-void place_calls::report_send_end(const core::grant_id& grant,
-                                  core::send_outcome outcome,
-                                  core::duration latency,
+void place_calls::report_send_end(const core::send_end& end,
                                   const core::server_notice& notice)
 {
-    const auto position = this->grants.find(grant.number);
+    const auto position = this->grants.find(end.grant.number);
     if (position == this->grants.end())
     {
         return;
     }
     const open_grant granted = std::move(position->second);
     this->grants.erase(position);
-    this->report({granted.shard, grant, outcome, latency, notice},
+    if (end.may_be_crash())
+    {
+        this->parts.on_lost_send(granted.shard,
+                                 {granted.content_digest, granted.server, {}},
+                                 granted.owner);
+    }
+    this->report({granted.shard, end.grant, end.outcome, end.latency, notice,
+                  end.connection_age},
                  granted.owner);
 }
 
@@ -448,7 +454,8 @@
     core::done_call message = state.message;
     // The owner counts a hold from the arrival of the report.
     core::duration& hold = message.notice.retry_after;
-    hold -= std::min(hold, now() - state.reported_at);
+    message.age = now() - state.reported_at;
+    hold -= std::min(hold, message.age);
     this->parts.send(state.owner, message);
     run_after(*state.timer, done_call_timeout,
               [this, key]
--- a/medlarbarrow/net/place_calls.hpp
+++ b/medlarbarrow/net/place_calls.hpp
@@ -40,6 +40,11 @@
         core::instance_address own_address = 0;
         std::uint64_t instance_id = 0; ///< of this instance's grants
         message_sender send;
+        /// Called when a send has ended without an answer.
+        std::function<void(const core::shard_id&,
+                           const core::crash_event&,
+                           core::instance_address granted_by)>
+            on_lost_send;
     };
 
     explicit place_calls(environment parts);
@@ -56,9 +61,7 @@
 
     /// Reports to the owner how the send of a grant ended, and what the server
     /// stated about itself.
-    void report_send_end(const core::grant_id& grant,
-                         core::send_outcome outcome,
-                         core::duration latency,
+    void report_send_end(const core::send_end& end,
                          const core::server_notice& notice = {});
 
     void on_reply(core::instance_address sender,
@@ -111,6 +114,8 @@
     {
         core::shard_id shard;
         core::instance_address owner = 0;
+        std::string server;
+        std::uint64_t content_digest = 0;
     };
 
     /// The end of a send that its owner has not acknowledged yet.
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -49,7 +49,8 @@
                                std::uint64_t initial_seed,
                                handlers initial_callbacks)
     : shards(directory), servers(registry), retry_limits(limits),
-      seed(initial_seed), callbacks(std::move(initial_callbacks)), timer(io)
+      seed(initial_seed), callbacks(std::move(initial_callbacks)), timer(io),
+      known_crashes(std::make_shared<core::crash_records>())
 {
 }
 
@@ -75,9 +76,11 @@
     const std::uint64_t placement_seed =
         core::hash_text(core::owner_key(key.shard), this->seed);
     const auto added = this->owned_shards.emplace(
-        key,
-        owned_shard{
-            core::placement(this->limits_of(key), placement_seed), 0, {}, {}});
+        key, owned_shard{core::placement(this->limits_of(key), placement_seed,
+                                         this->known_crashes),
+                         0,
+                         {},
+                         {}});
     added.first->second.placement.set_floor_share(this->floor_share);
     this->refresh_servers(key, added.first->second);
     return added.first->second;
@@ -169,8 +172,10 @@
         }
         else
         {
-            owned.placement.on_send_ended(ended.grant, ended.outcome,
-                                          ended.latency, now());
+            owned.placement.on_send_ended({ended.grant, ended.outcome,
+                                           ended.latency, ended.connection_age,
+                                           ended.age},
+                                          now());
         }
         for (const core::crash_event& crash : owned.placement.take_crashes())
         {
@@ -184,12 +189,6 @@
     this->start_timer();
 }
 
-void service_owners::record_crash(const core::shard_crash_report& report)
-{
-    this->find_or_create({report.shard, decision_scope::fleet})
-        .placement.record_crash(report.crash, now());
-}
-
 double service_owners::load(const core::shard_id& shard) const
 {
     const auto owned = this->owned_shards.find({shard, decision_scope::fleet});
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <medlarbarrow/core/fleet_messages.hpp>
 #include <medlarbarrow/core/shards.hpp>
+#include <memory>
 #include <string>
 
 namespace medlarbarrow::net
@@ -70,8 +71,11 @@
     /// looked up in all shards.
     void on_send_ended(const core::done_call& ended);
 
-    /// Records a crash that the owner of another shard has seen.
-    void record_crash(const core::shard_crash_report& report);
+    /// What is known of requests that crash servers, over all shards.
+    core::crash_records& crashes() noexcept
+    {
+        return *this->known_crashes;
+    }
 
     /// Load of the shard as its owner, see placement::load().
     double load(const core::shard_id& shard) const;
@@ -119,6 +123,7 @@
     handlers callbacks;
     boost::asio::steady_timer timer;
     bool timer_running = false;
+    std::shared_ptr<core::crash_records> known_crashes;
     std::map<shard_key, owned_shard> owned_shards;
 };
 
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -313,6 +313,7 @@
         co_return false;
     }
     ++this->counts->connections_opened;
+    current.history.connected_at = core::boot_clock::now();
     co_return !current.stopped;
 }
 
@@ -424,6 +425,11 @@
 {
     using core::attempt_end;
     core::attempt_result result = current.result;
+    if (current.answer_complete || current.server_lives)
+    {
+        result.connection_age =
+            core::boot_clock::now() - current.history.connected_at;
+    }
     const bool caller_gone =
         current.caller_left ||
         current.cause == exchange::stop_cause::caller_gone ||
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -56,6 +56,16 @@
     return seconds(std::min(value, 3600U));
 }
 
+/// True when a read ended with bytes that cannot be parsed, while the server
+/// was still sending.
+bool is_parse_error(const error_code& failure)
+{
+    return failure.category() ==
+               http::make_error_code(http::error::bad_line_ending).category() &&
+           failure != http::error::end_of_stream &&
+           failure != http::error::partial_message;
+}
+
 /// Status and header lines of the parsed answer for the caller.
 answer_head make_head(const answer_parser& parser, bool has_body)
 {
@@ -175,7 +185,7 @@
     if (header.count(this->names.request_id) == 0 &&
         current.history.request_ids.empty())
     {
-        current.reject_damaged("no request id");
+        current.reject_bytes("no request id");
         co_return false;
     }
     current.discard(current.counts->answers_foreign,
@@ -235,13 +245,18 @@
         const bool discarded = co_await this->discard_answer(current, request);
         if (!discarded)
         {
+            current.server_lives = true;
             current.stop(exchange::stop_cause::bad_answer);
             co_return false;
         }
     }
     if (failure)
     {
-        if (current.parser->got_some() || current.input.size() > 0)
+        if (is_parse_error(failure))
+        {
+            current.reject_bytes(failure.message());
+        }
+        else if (current.parser->got_some() || current.input.size() > 0)
         {
             current.reject_damaged(failure.message());
         }
@@ -258,12 +273,12 @@
                              this->ends_with_connection(current);
     if (status < 200 || !this->is_own_answer(current) || !has_framing)
     {
-        current.reject_damaged("no framing or no final answer");
+        current.reject_bytes("no framing or no final answer");
         co_return false;
     }
     if (!this->has_success_header(header))
     {
-        current.reject_damaged("success without its header");
+        current.reject_bytes("success without its header");
         co_return false;
     }
     current.not_run = this->states_not_run(header);
@@ -296,7 +311,7 @@
     {
         if (!current.decode())
         {
-            current.reject_damaged("malformed body");
+            current.reject_bytes("malformed body");
         }
         const bool enough = current.parser->is_done() ||
                             current.filled == current.part_buffer.size() ||
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -29,6 +29,7 @@
     {
         std::vector<std::size_t> request_ids; ///< hashes
         bool has_served_head = false;         ///< a request with method HEAD
+        core::time_point connected_at{};
 
         /// An answer to an earlier request with the same id could not be told
         /// from the answer to this one.
@@ -186,6 +187,14 @@
         }
     }
 
+    /// The same for bytes that are no answer, from a server that goes on
+    /// sending: it has not crashed.
+    void reject_bytes(std::string_view reason)
+    {
+        this->server_lives |= !this->stopped;
+        this->reject_damaged(reason);
+    }
+
     void disarm()
     {
         this->watchdog_deadline = {};
@@ -213,6 +222,7 @@
         }
         if (now >= part_deadline)
         {
+            current->server_lives = true;
             current->stop(stop_cause::timed_out);
             return;
         }
@@ -260,6 +270,7 @@
     bool answer_discarded = false; ///< the connection must not be reused
     core::time_point send_start{};
     bool answer_complete = false;
+    bool server_lives = false; ///< it was sending when the attempt ended
     bool reusable = false;
     core::duration age_limit{}; ///< of the connection, once idle
     bool forwarded = false;     ///< caller got part of the answer
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -25,6 +25,10 @@
     statement.notice.started = 1'700'000'000'000;
     statement.notice.leaving = true;
     statement.notice.retry_after = 1500ms;
+    core::done_call life_sign{
+        {"specbook", 3}, {7, 9}, core::send_outcome::succeeded, 5ms};
+    life_sign.connection_age = 12s;
+    life_sign.age = 150ms;
     core::place_call place;
     place.shard = {"specbook", 3};
     place.request.grant = {7, 9};
@@ -40,6 +44,7 @@
         gossip,
         news,
         statement,
+        life_sign,
         core::subscribe{5},
         core::source_update{7, 20ms, 6, "changes"},
         core::admit_call{3, "loft"},
@@ -52,7 +57,10 @@
             1.25},
         core::done_call{{"specbook", 3}, {7, 9}, core::send_outcome::shed, 5ms},
         core::done_reply{9, 3},
-        core::shard_crash_report{{"specbook", 3}, {0xfeedbeefcafef00d, "i-2"}}};
+        core::shard_crash_report{{"specbook", 3},
+                                 {0xfeedbeefcafef00d, "i-2", 250ms}},
+        core::crash_suspects{{{0xfeedbeefcafef00d, {{"i-2", 3s}, {"i-3", 0s}}},
+                              {5, {{"i-4", 59s}}}}}};
 }
 
 } // namespace
@@ -91,6 +99,68 @@
     EXPECT_LE(net::encode_message(message).size(), net::max_datagram_bytes);
 }
 
+// Guards against a next owner that knows other crashes than the one before it.
+TEST(fleet_messages, carry_what_is_known_of_crashes)
+{
+    for (const core::fleet_message& message : sample_messages())
+    {
+        const auto decoded =
+            net::decode_message(net::encode_message(message)).value();
+        if (const auto* sent = std::get_if<core::done_call>(&message))
+        {
+            const auto& received = std::get<core::done_call>(decoded);
+            EXPECT_EQ(received.connection_age, sent->connection_age);
+            EXPECT_EQ(received.age, sent->age);
+        }
+        if (const auto* sent = std::get_if<core::shard_crash_report>(&message))
+        {
+            const auto& received = std::get<core::shard_crash_report>(decoded);
+            EXPECT_EQ(received.crash.content_digest,
+                      sent->crash.content_digest);
+            EXPECT_EQ(received.crash.server, sent->crash.server);
+            EXPECT_EQ(received.crash.age, sent->crash.age);
+        }
+        if (const auto* sent = std::get_if<core::crash_suspects>(&message))
+        {
+            const auto& received = std::get<core::crash_suspects>(decoded);
+            ASSERT_EQ(received.suspects.size(), sent->suspects.size());
+            for (std::size_t index = 0; index < received.suspects.size();
+                 ++index)
+            {
+                const core::crash_suspect& suspect = received.suspects[index];
+                const core::crash_suspect& known = sent->suspects[index];
+                EXPECT_EQ(suspect.content_digest, known.content_digest);
+                ASSERT_EQ(suspect.crashes.size(), known.crashes.size());
+                for (std::size_t crash = 0; crash < known.crashes.size();
+                     ++crash)
+                {
+                    EXPECT_EQ(suspect.crashes[crash].server,
+                              known.crashes[crash].server);
+                    EXPECT_EQ(suspect.crashes[crash].age,
+                              known.crashes[crash].age);
+                }
+            }
+        }
+    }
+}
+
+// Guards against suspects that exceed the size of a datagram.
+TEST(fleet_messages, fit_a_datagram_with_all_suspects_that_it_may_hold)
+{
+    core::crash_records records;
+    for (std::uint64_t digest = 1; digest <= 300; ++digest)
+    {
+        for (const char* server : {"i-7f3a91c2", "i-7f3a91c3", "i-7f3a91c4"})
+        {
+            records.record({~digest, server, {}}, core::time_point(1000s));
+        }
+    }
+    const core::crash_suspects message{
+        records.suspects(2, core::time_point(1290s))};
+    EXPECT_GE(message.suspects.size(), 10U);
+    EXPECT_LE(net::encode_message(message).size(), net::max_datagram_bytes);
+}
+
 // Guards against a field that the round trip loses on both ways.
 TEST(fleet_messages, carry_what_a_server_has_stated)
 {
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -165,7 +165,14 @@
                                    const core::fleet_message& message)
                             {
                                 this->sent.push_back({recipient, message});
+                            },
+                            [this](const core::shard_id&,
+                                   const core::crash_event& crash,
+                                   core::instance_address)
+                            {
+                                this->lost_sends.push_back(crash);
                             }}};
+    std::vector<core::crash_event> lost_sends;
 };
 
 // Guards against a request that waits at a full shard while another has a free
@@ -181,8 +188,8 @@
     this->reply(second, core::placed{"s7", 100ms, 200ms});
     EXPECT_EQ(this->placed_at(), "s7");
     EXPECT_TRUE(this->is_released_at(first));
-    this->calls.report_send_end(this->grant, core::send_outcome::succeeded,
-                                90ms);
+    this->calls.report_send_end(
+        {this->grant, core::send_outcome::succeeded, 90ms});
     const auto& done = std::get<core::done_call>(this->sent.back().message);
     EXPECT_EQ(this->sent.back().recipient, this->owner_of(second));
     EXPECT_EQ(done.shard.number, second);
@@ -271,8 +278,8 @@
     this->place();
     const std::uint32_t first = this->shard_asked(0);
     this->reply(first, core::placed{"s3", 100ms, 200ms});
-    this->calls.report_send_end(this->grant, core::send_outcome::succeeded,
-                                90ms, {"s3", 5, true});
+    this->calls.report_send_end(
+        {this->grant, core::send_outcome::succeeded, 90ms}, {"s3", 5, true});
     const auto& done = std::get<core::done_call>(this->sent.back().message);
     EXPECT_EQ(this->sent.back().recipient, this->owner_of(first));
     EXPECT_EQ(done.notice.server, "s3");
@@ -286,7 +293,7 @@
 {
     this->place();
     this->reply(this->shard_asked(0), core::placed{"s3", 100ms, 200ms});
-    this->calls.report_send_end(this->grant, core::send_outcome::shed, 90ms,
+    this->calls.report_send_end({this->grant, core::send_outcome::shed, 90ms},
                                 {"s3", 1, false, 400ms});
     const std::size_t first = this->sent.size() - 1;
     this->run_for(800ms);
@@ -422,7 +429,7 @@
     ASSERT_EQ(reports.size(), 3U);
     for (const core::shard_crash_report& report : reports)
     {
-        owners.record_crash(report);
+        owners.crashes().record(report.crash, core::boot_clock::now());
     }
     const core::place_answer answer = ask(1, 9);
     const auto* refused = std::get_if<core::place_refused>(&answer);
