Bound what bytes without end may take: store, servers and clients

Report of other operators: a faulty server sent bytes that were no answer, without end, and the machine that had called it ran out of memory.

The attempt now ends at once and counts against the server. * From a client, such a line was neither refused nor read on. It gets a 400. * Bytes on an idle kept connection stayed in the socket's buffer until the connection was used or too old. All together now hold at most max_answers_bytes; what exceeds it is streamed.

--- a/medlarbarrow/net/admin.cpp
+++ b/medlarbarrow/net/admin.cpp
@@ -353,7 +353,7 @@
         {
             co_return write_failure;
         }
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(max_status_bytes);
         const auto [read_failure, read] =
             co_await http::async_read(stream, buffer, parser, return_errors);
         co_return read_failure;
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -110,14 +110,19 @@
         this->shared_from_this());
 }
 
+bool caller_connection::has_room_to_read() const
+{
+    return this->input.max_size() - this->input.size() >=
+           this->read_buffer.size();
+}
+
 // Keeps one read outstanding while the input buffer has room. The read also
 // detects a caller that disconnects during its request. A half-closed
 // connection counts as disconnected, as it looks the same as a closed one.
 void caller_connection::start_read()
 {
-    const std::size_t room = this->input.max_size() - this->input.size();
     if (this->reading || this->read_ended || this->closed ||
-        room < this->read_buffer.size())
+        !this->has_room_to_read())
     {
         return;
     }
@@ -294,7 +299,9 @@
         this->input.consume(consumed);
         const bool needs_more = failure == http::error::need_buffer ||
                                 failure == http::error::need_more;
-        this->body_failed |= failure && !needs_more;
+        // A line between chunks that does not end would never be read whole.
+        const bool is_stuck = consumed == 0 && !this->has_room_to_read();
+        this->body_failed |= (failure && !needs_more) || is_stuck;
         if (this->body_failed || consumed == 0)
         {
             break;
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -209,6 +209,7 @@
     using parser_type = http::request_parser<http::buffer_body>;
 
     std::shared_ptr<caller_connection> shared_self();
+    bool has_room_to_read() const;
     void start_read();
     void on_read(boost::system::error_code failure, std::size_t count);
     core::time_point idle_deadline() const;
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -252,7 +252,7 @@
 // Closes aged idle connections to servers, now and every sweep_period.
 void entry::state::sweep()
 {
-    this->servers.close_expired_idle();
+    this->servers.close_unusable_idle();
     this->sweep_timer.expires_after(sweep_period);
     this->sweep_timer.async_wait(
         [weak = this->weak_from_this()](error_code failure)
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -122,7 +122,7 @@
 // the number of live instances, once per maintenance_period.
 void gateway::state::run_maintenance()
 {
-    this->connections.close_expired_idle();
+    this->connections.close_unusable_idle();
     this->connections.set_max_instances(
         static_cast<std::uint32_t>(this->peers.live_count()));
     this->maintenance_timer.expires_after(maintenance_period);
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -240,8 +240,9 @@
     step.server_started = run.started;
     step.deadline = this->deadline;
     step.expected_server = action.server;
-    current.active_send = std::make_shared<send>(
-        this->caller, this->make_send_callbacks(action.number, run));
+    current.active_send =
+        std::make_shared<send>(this->caller, this->shared->buffered_answers,
+                               this->make_send_callbacks(action.number, run));
     ++this->summary.attempts;
     asio::co_spawn(this->shared->io,
                    current.active_send->run(this->shared->connections, step,
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds max_server_idle_time{8500};
 constexpr std::chrono::milliseconds server_connect_timeout{250};
 
+/// Bytes of answers that all requests in progress hold together.
+constexpr std::size_t max_answers_bytes = 32U << 20U;
+
 /// A configuration document with the lookup tables derived from it.
 struct document_view
 {
@@ -97,6 +100,8 @@
     signal capacity_freed; ///< a session has ended, or stop() was called
     config::entry_bounds bounds;
     upstream connections;
+    const std::shared_ptr<answer_memory> buffered_answers =
+        std::make_shared<answer_memory>(answer_memory{max_answers_bytes, 0});
     core::server_holds holds; ///< servers that turned this instance away
     std::shared_ptr<const document_view> view;
     core::traffic_splitter splitter;
--- a/medlarbarrow/net/http_connection.cpp
+++ b/medlarbarrow/net/http_connection.cpp
@@ -18,11 +18,16 @@
 
 constexpr unsigned http_version = 11;
 
+/// Bytes of an answer that may wait to be parsed. The parser keeps a line until
+/// its end has come, and has no limit for the lines between chunks.
+constexpr std::size_t max_unparsed_bytes = 128U << 10U;
+
 /// True when the server answered, but not with valid HTTP of allowed size.
 bool is_bad_answer(const boost::system::error_code& error)
 {
     return error == http::error::body_limit ||
            error == http::error::header_limit ||
+           error == http::error::buffer_overflow ||
            error == http::error::bad_version ||
            error == http::error::bad_status;
 }
@@ -32,7 +37,8 @@
 http_connection::http_connection(asio::io_context& context,
                                  asio::ip::tcp::endpoint target,
                                  std::string host_name)
-    : stream(context), endpoint(std::move(target)), host(std::move(host_name))
+    : stream(context), buffer(max_unparsed_bytes), endpoint(std::move(target)),
+      host(std::move(host_name))
 {
 }
 
--- a/medlarbarrow/net/send.cpp
+++ b/medlarbarrow/net/send.cpp
@@ -44,8 +44,10 @@
 }
 
 send::send(std::shared_ptr<caller_connection> target,
+           std::shared_ptr<answer_memory> memory,
            send_callbacks initial_callbacks)
-    : caller(std::move(target)), callbacks(std::move(initial_callbacks))
+    : caller(std::move(target)), callbacks(std::move(initial_callbacks)),
+      held(std::move(memory))
 {
 }
 
@@ -115,11 +117,15 @@
     co_return written;
 }
 
-// Buffers the part, or starts streaming when the answer becomes too large.
+// Buffers the part, or starts streaming when the answer, or those of all sends
+// together, become too large.
 asio::awaitable<bool> send::buffer_part(std::string_view part, bool last)
 {
     this->body += part;
-    if (last || this->body.size() <= max_buffered_bytes)
+    this->held.add(part.size());
+    const bool may_buffer =
+        this->body.size() <= max_buffered_bytes && !this->held.is_exhausted();
+    if (last || may_buffer)
     {
         co_return !this->cancelled;
     }
@@ -131,6 +137,7 @@
     const bool written =
         co_await this->caller->write_head(this->head, this->body, false);
     this->body = std::string();
+    this->held.release();
     co_return written;
 }
 
--- a/medlarbarrow/net/send.hpp
+++ b/medlarbarrow/net/send.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <medlarbarrow/core/request_flow.hpp>
+#include <medlarbarrow/net/answer_memory.hpp>
 #include <medlarbarrow/net/caller.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 
@@ -36,7 +37,9 @@
 class send : public caller_channel
 {
 public:
-    send(std::shared_ptr<caller_connection> caller, send_callbacks callbacks);
+    send(std::shared_ptr<caller_connection> caller,
+         std::shared_ptr<answer_memory> memory,
+         send_callbacks callbacks);
 
     asio::awaitable<core::attempt_result> run(upstream& servers,
                                               core::step_send step,
@@ -68,6 +71,7 @@
     send_callbacks callbacks;
     answer_head head;
     std::string body;
+    held_bytes held;
     bool streaming = false;
     bool cancelled = false;
 };
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -588,16 +588,19 @@
     }
 }
 
-void upstream::close_expired_idle()
+// Also closes idle connections on which a server sends bytes that nobody asked
+// for, which would fill the socket's buffer, and those it has closed.
+void upstream::close_unusable_idle()
 {
     const core::time_point now = core::boot_clock::now();
     for (auto& [name, pool] : this->pools)
     {
         const std::size_t closed = std::erase_if(
             pool->idle,
-            [now](const server_pool::idle_connection& connection)
+            [now](server_pool::idle_connection& connection)
             {
-                return now - connection.since >= connection.age_limit;
+                return now - connection.since >= connection.age_limit ||
+                       !is_open_without_input(connection.socket);
             });
         pool->open -= closed;
         this->counts->connections_open -= closed;
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -135,7 +135,7 @@
     void stop_sending();
 
     /// Closes connections that have reached the idle age limit.
-    void close_expired_idle();
+    void close_unusable_idle();
 
     /// Closes all idle connections.
     void close_idle();
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -320,9 +320,14 @@
         {
             break;
         }
-        error_code failure;
         const std::size_t room =
             current.input.max_size() - current.input.size();
+        if (room == 0)
+        {
+            current.reject_bytes("a line of the body without an end");
+            break;
+        }
+        error_code failure;
         const std::size_t read_size =
             room < this->part_bytes ? room : this->part_bytes;
         const auto target = current.input.prepare(read_size);
--- a/standin/scripted_server.cpp
+++ b/standin/scripted_server.cpp
@@ -23,6 +23,9 @@
 /// separately.
 constexpr std::chrono::milliseconds segment_gap{2};
 
+/// Time between a whole response and the bytes of endless_surplus.
+constexpr std::chrono::milliseconds surplus_delay{100};
+
 bool write(tcp::socket& socket, std::string_view text)
 {
     error_code failure;
@@ -164,7 +167,9 @@
             connections.emplace_back(
                 [this, socket = std::move(socket)]
                 {
+                    ++this->connections_open;
                     this->serve_connection(*socket);
+                    --this->connections_open;
                 });
         }
     }
@@ -464,6 +469,17 @@
     case response_kind::endless_chunk_line:
         beginning = chunked_head + "5;";
         break;
+    case response_kind::endless_chunk_size:
+        beginning = chunked_head;
+        repeated = std::string(repeated_bytes, '0');
+        break;
+    case response_kind::endless_length:
+        beginning = this->response_head(id, 200,
+                                        "Content-Length: 1000000000000000\r\n");
+        break;
+    case response_kind::endless_surplus:
+        beginning = this->complete_response(id, 200);
+        break;
     case response_kind::endless_trailer:
         beginning = chunked_head + chunk + "0\r\n";
         repeated = "A: b\r\n";
@@ -473,6 +489,11 @@
         break;
     }
     bool open = write(socket, beginning);
+    if (manner == response_kind::endless_surplus)
+    {
+        // The client has put the connection aside by then.
+        std::this_thread::sleep_for(surplus_delay);
+    }
     while (open)
     {
         open = write(socket, repeated);
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -48,15 +48,18 @@
     cut_anywhere,             ///< closes or resets as set by cut_at()
     last = cut_anywhere,      ///< of those that end by themselves
     // The others send bytes until the client closes the connection.
-    endless_line,       ///< a first line without an end
-    endless_fields,     ///< header fields without an end
-    endless_interim,    ///< interim responses
-    endless_strays,     ///< responses to other requests
-    endless_stray_body, ///< a response to another request, in chunks
-    endless_chunks,     ///< chunks without a last one
-    endless_chunk_line, ///< the line before a chunk
-    endless_trailer,    ///< fields after the last chunk
-    endless_until_close ///< a body without a length
+    endless_line,        ///< a first line without an end
+    endless_fields,      ///< header fields without an end
+    endless_interim,     ///< interim responses
+    endless_strays,      ///< responses to other requests
+    endless_stray_body,  ///< a response to another request, in chunks
+    endless_chunks,      ///< chunks without a last one
+    endless_chunk_line,  ///< the extension in the line before a chunk
+    endless_chunk_size,  ///< digits of the size in the line before a chunk
+    endless_trailer,     ///< fields after the last chunk
+    endless_until_close, ///< a body without a length
+    endless_length,      ///< a body whose length nobody reaches
+    endless_surplus      ///< bytes after a whole response
 };
 
 /// Names of the headers that the server reads and writes.
@@ -96,6 +99,12 @@
     /// it has refused as not run is not among them.
     std::vector<std::string> run_ids() const;
 
+    /// Connections that are open now.
+    int open_connections() const noexcept
+    {
+        return this->connections_open;
+    }
+
     /// Complete response to a request with this id, as written to the
     /// connection. For kinds that consist of one valid response.
     std::string response_text(response_kind kind, const std::string& id) const;
@@ -137,6 +146,7 @@
     std::size_t position = 0;
     std::vector<std::string> executed_ids;
     response_cut cut;
+    std::atomic<int> connections_open{0};
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/tests/answer_fuzz_test.cpp
+++ b/tests/answer_fuzz_test.cpp
@@ -392,3 +392,24 @@
             << "manner " << number;
     }
 }
+
+// Guards against an instance that is kept busy, without any progress, by a line
+// between two chunks that is longer than its buffer.
+TEST(answers_without_end, end_at_once_in_a_line_that_is_too_long)
+{
+    constexpr std::chrono::seconds deadline{20};
+    constexpr std::chrono::seconds max_duration{5};
+    for (const response_kind manner :
+         {response_kind::endless_chunk_line, response_kind::endless_chunk_size})
+    {
+        standin::scripted_server server(names());
+        server.play({manner});
+        sender client(server.port());
+        const auto start = std::chrono::steady_clock::now();
+        const core::attempt_result result = client.send("request-1", deadline);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, max_duration);
+        EXPECT_EQ(result.end, attempt_end::closed_early);
+        // The server lives: that is no crash by the request.
+        EXPECT_GT(result.connection_age, core::duration(0));
+    }
+}
--- a/tests/planned_work_fixture.hpp
+++ b/tests/planned_work_fixture.hpp
@@ -281,9 +281,11 @@
             R"({{"name":"entry-{0}","data_centre":"suva","region":"viti",)"
             R"("callers":"{1}:{2}","ready":"{1}:{3}","peers":"{1}:{4}",)"
             R"("metrics":"{1}:{5}","fleet":"{1}:{4}",)"
-            R"("source":"127.0.0.1:{6}","seeds":[{7}],"bounds":["grace={8}ms"]}})",
+            R"("source":"127.0.0.1:{6}","seeds":[{7}],"bounds":["grace={8}ms"],)"
+            R"("max_files":{9}}})",
             index, own, this->callers, this->ready, this->peers, this->metrics,
-            this->store.port(), seeds, grace.count());
+            this->source == 0 ? this->store.port() : this->source, seeds,
+            grace.count(), this->max_files);
     }
 
     void start_instance(std::size_t index)
@@ -482,6 +484,8 @@
     std::uint16_t ready = 0;
     std::uint16_t peers = 0;
     std::uint16_t metrics = 0;
+    unsigned max_files = 1024;
+    std::uint16_t source = 0; ///< port of the store; 0: that of `store`
     unsigned runs = 0;
     standin::store store;
     std::vector<std::unique_ptr<standin::server>> servers;
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -161,6 +161,23 @@
         return this->running && ::waitpid(this->id, nullptr, WNOHANG) == 0;
     }
 
+    /// Most memory that the process has had so far, in KiB; 0 if that is not
+    /// known.
+    std::size_t peak_memory_kib() const
+    {
+        std::ifstream status("/proc/" + std::to_string(this->id) + "/status");
+        std::string word;
+        std::size_t kib = 0;
+        while (status >> word)
+        {
+            if (word == "VmHWM:")
+            {
+                status >> kib;
+            }
+        }
+        return kib;
+    }
+
     std::string log() const
     {
         std::ifstream file(this->log_path);
