--- a/medlarbarrow/core/crash_records.cpp
+++ b/medlarbarrow/core/crash_records.cpp
@@ -231,8 +231,10 @@
             std::max<duration>(last + settle_time - now, duration(0))};
 }
 
-std::optional<crash_suspect> crash_records::make_suspect(
-    std::uint64_t digest, const digest_record& known, time_point now)
+// The crashes of a record that still count, for a message.
+crash_suspect crash_records::make_suspect(std::uint64_t digest,
+                                          const digest_record& known,
+                                          time_point now)
 {
     crash_suspect suspect;
     suspect.content_digest = digest;
@@ -243,7 +245,7 @@
             suspect.crashes.push_back({suspected.server, now - suspected.at});
         }
     }
-    return suspect.crashes.empty() ? std::nullopt : std::optional(suspect);
+    return suspect;
 }
 
 std::vector<crash_suspect> crash_records::suspects(std::size_t min_servers,
@@ -252,10 +254,14 @@
     std::vector<crash_suspect> found;
     for (const auto& [digest, known] : this->records)
     {
-        auto suspect = make_suspect(digest, known, now);
-        if (suspect && suspect->crashes.size() >= min_servers)
+        if (count_crashes(known) < min_servers)
         {
-            found.push_back(std::move(*suspect));
+            continue;
+        }
+        crash_suspect suspect = make_suspect(digest, known, now);
+        if (suspect.crashes.size() >= min_servers)
+        {
+            found.push_back(std::move(suspect));
         }
     }
     std::sort(found.begin(), found.end(),
--- a/medlarbarrow/core/crash_records.hpp
+++ b/medlarbarrow/core/crash_records.hpp
@@ -73,7 +73,8 @@
     /// Crashes that the sign refutes no longer count.
     void record_life_sign(const life_sign& sign);
 
-    /// Records that a request of the digest has been granted a server.
+    /// Records that a request of the digest has been granted a server. While it
+    /// runs, the others stay blocked.
     void record_trial(std::uint64_t content_digest, time_point now);
 
     request_block block_of(std::uint64_t content_digest, time_point now) const;
@@ -108,11 +109,12 @@
     };
 
     static std::size_t count_crashes(const digest_record& record);
-    static std::optional<crash_suspect> make_suspect(std::uint64_t digest,
-                                                     const digest_record& known,
-                                                     time_point now);
+    static crash_suspect make_suspect(std::uint64_t digest,
+                                      const digest_record& known,
+                                      time_point now);
     void add_crash(digest_record& known, const crash& added);
     void drop_old_records(time_point now);
+    /// Finds `suspected_servers` anew after records have been dropped.
     void find_suspected_servers();
 
     std::unordered_map<std::uint64_t, digest_record> records;
--- a/tests/crash_handover_test.cpp
+++ b/tests/crash_handover_test.cpp
@@ -39,25 +39,9 @@
         settings.self = {own_address, port};
         settings.seeds = {seed};
         settings.incarnation = incarnation;
-        net::fleet_callbacks callbacks;
-        callbacks.account_limit = [](const std::string&)
-        {
-            return std::nullopt;
-        };
-        callbacks.revision = []
-        {
-            return std::uint64_t{1};
-        };
-        callbacks.on_newer_revision = [](const std::string&, std::uint64_t) {};
-        callbacks.changes_since = [](std::uint64_t)
-        {
-            return std::string();
-        };
-        callbacks.on_changes = [](const std::string&) {};
-        callbacks.on_peer_confirmation = [] {};
-        callbacks.set_reading_enabled = [](bool) {};
         this->peers =
-            net::fleet::create(this->io, settings, this->servers, callbacks)
+            net::fleet::create(this->io, settings, this->servers,
+                               tests::fleet_callbacks_without_source())
                 .value();
         this->peers->start();
     }
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -48,6 +48,29 @@
     return probe.local_endpoint().port();
 }
 
+/// Callbacks of a fleet that follows no source and knows no accounts.
+inline net::fleet_callbacks fleet_callbacks_without_source()
+{
+    net::fleet_callbacks callbacks;
+    callbacks.account_limit = [](const std::string&)
+    {
+        return std::nullopt;
+    };
+    callbacks.revision = []
+    {
+        return std::uint64_t{1};
+    };
+    callbacks.on_newer_revision = [](const std::string&, std::uint64_t) {};
+    callbacks.changes_since = [](std::uint64_t)
+    {
+        return std::string();
+    };
+    callbacks.on_changes = [](const std::string&) {};
+    callbacks.on_peer_confirmation = [] {};
+    callbacks.set_reading_enabled = [](bool) {};
+    return callbacks;
+}
+
 /// One instance: a fleet and a gateway on their own address.
 struct test_instance
 {
@@ -63,23 +86,11 @@
         fleet_options.self = {address, port};
         fleet_options.seeds = {seed};
         fleet_options.incarnation = 1000;
-        net::fleet_callbacks callbacks;
+        net::fleet_callbacks callbacks = fleet_callbacks_without_source();
         callbacks.account_limit = [this](const std::string& account)
         {
             return this->entry->account_limit(account);
         };
-        callbacks.revision = []
-        {
-            return std::uint64_t{1};
-        };
-        callbacks.on_newer_revision = [](const std::string&, std::uint64_t) {};
-        callbacks.changes_since = [](std::uint64_t)
-        {
-            return std::string();
-        };
-        callbacks.on_changes = [](const std::string&) {};
-        callbacks.on_peer_confirmation = [] {};
-        callbacks.set_reading_enabled = [](bool) {};
         this->peers =
             net::fleet::create(io, fleet_options, this->servers, callbacks)
                 .value();
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -287,6 +287,24 @@
     EXPECT_TRUE(done.notice.leaving);
 }
 
+// Guards against crashes that only the owner learns of, which may have failed
+// meanwhile, and against a request that is blamed for a server that lives.
+TEST_F(a_caller_of_two_shards, tells_of_a_send_whose_server_ended_it)
+{
+    for (const core::duration connection_age : {0s, 3s})
+    {
+        this->place();
+        this->reply(this->shard_asked(this->place_calls_sent().size() - 1),
+                    core::placed{"s3", 100ms, 200ms});
+        this->calls.report_send_end({this->grant,
+                                     core::send_outcome::connection_lost,
+                                     {},
+                                     connection_age});
+    }
+    ASSERT_EQ(this->lost_sends.size(), 1U);
+    EXPECT_EQ(this->lost_sends[0].server, "s3");
+}
+
 // Guards against a report that arrives with a repeat and keeps a server that
 // has turned this instance away out of use for longer than the server has said.
 TEST_F(a_caller_of_two_shards, reports_what_is_left_of_a_hold)
