--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -588,8 +588,8 @@
     }
 }
 
-// Also closes idle connections on which a server sends bytes that nobody asked
-// for, which would fill the socket's buffer, and those it has closed.
+// Also closes idle connections on which a server sends bytes that belong to no
+// request, which would fill the socket's buffer, and those it has closed.
 void upstream::close_unusable_idle()
 {
     const core::time_point now = core::boot_clock::now();
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -58,7 +58,7 @@
     endless_chunk_size,  ///< digits of the size in the line before a chunk
     endless_trailer,     ///< fields after the last chunk
     endless_until_close, ///< a body without a length
-    endless_length,      ///< a body whose length nobody reaches
+    endless_length,      ///< a body whose stated length is never reached
     endless_surplus      ///< bytes after a whole response
 };
 
