Build gateway_failure_test on x86-64

Cause: on x86-64 g++ 12 inlines the test's operator delete but not its operator new, sees free() called for memory of operator new, and reports mismatched-new-delete, which is an error in the whole build. Change: the replaced operator delete isn't inlined. No check changed.

--- a/tests/gateway_failure_test.cpp
+++ b/tests/gateway_failure_test.cpp
@@ -49,12 +49,15 @@
     return std::malloc(bytes);
 }
 
-void operator delete(void* memory) noexcept
+// Not inlined: g++ would see free() called for memory of operator new, and
+// report it.
+[[gnu::noinline]] void operator delete(void* memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void* memory, std::size_t /*bytes*/) noexcept
+[[gnu::noinline]] void operator delete(void* memory,
+                                       std::size_t /*bytes*/) noexcept
 {
     std::free(memory);
 }
