Don't take a reset during an upload for the end of an answer

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection; the client got the part as a complete 200.

Cause: a socket has one error for both directions. While a write waits for room, Asio's reactor serves the write before the read when the connection ends; the write takes the error (ECONNRESET, or ETIMEDOUT after 3 s of unacknowledged bytes), and the read that follows sees end of file, which is the regular end of an answer without a length. Trace (strace) of one play: sendmsg(11, "uuu"..., 16384) = -1 ECONNRESET recvfrom(11, "", 32768) = 0 and with a server that takes in nothing more: sendmsg(12, "uuu"..., 8192) = -1 ETIMEDOUT recvfrom(12, "", 32768) = 0

Change: at the end of file of an answer without a length, upstream looks at the write. If the connection has ended in both directions, it waits for the write that is in progress, whose result is then due, and an error of it means that the answer broke off. Only a broken pipe doesn't: Linux reports it in place of a reset when the peer had ended its own direction before (trace: sendmsg = -1 EPIPE, recvfrom = 7591, recvfrom = 0). So an answer that ended in order before the rest of the upload was reset stays whole. A connection whose server has ended only its own direction isn't waited for.

Why it works: the error is taken either by the read, which then fails, or by the write, whose result is now asked for before the end is believed. No other call takes it in between: a connection is looked at (MSG_PEEK) only while it is idle.

--- a/medlarbarrow/net/http_connection.cpp
+++ b/medlarbarrow/net/http_connection.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 #include <medlarbarrow/net/http_connection.hpp>
-#include <medlarbarrow/net/idle_socket.hpp>
+#include <medlarbarrow/net/socket_state.hpp>
 
 namespace medlarbarrow::net
 {
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -2,8 +2,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
-#include <medlarbarrow/net/idle_socket.hpp>
 #include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/socket_state.hpp>
 #include <medlarbarrow/net/upstream_state.hpp>
 #include <netinet/tcp.h>
 
@@ -394,9 +394,13 @@
                                                         asio::buffer(part.data),
                                                         asio::buffer(suffix)};
         current.write_started = true;
+        current.write_in_progress = true;
         const std::size_t count = co_await asio::async_write(
             current.socket, buffers,
             asio::redirect_error(asio::use_awaitable, failure));
+        current.write_in_progress = false;
+        current.write_failure = failure;
+        current.changed.notify();
         current.bytes_written += count;
         this->counts->bytes_to_servers += count;
         prefix.clear();
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -178,6 +178,8 @@
     asio::awaitable<bool> read_head(exchange& current,
                                     const checked_request& request,
                                     caller_channel& caller);
+    asio::awaitable<boost::system::error_code>
+    connection_loss(exchange& current);
     asio::awaitable<bool> read_part(exchange& current);
     asio::awaitable<bool>
     forward_part(exchange& current, bool keep_answer, caller_channel& caller);
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -1,6 +1,7 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <medlarbarrow/core/server_holds.hpp>
+#include <medlarbarrow/net/socket_state.hpp>
 #include <medlarbarrow/net/upstream_state.hpp>
 
 // Reads the answers of servers: framing, limits and which request an answer
@@ -298,6 +299,29 @@
     co_return true;
 }
 
+// Why the connection is lost, if it is, after a read that saw the end of the
+// stream. A connection has one error for both directions: a write that waits
+// takes it, and the read that follows sees an end like one in order.
+asio::awaitable<error_code> upstream::connection_loss(exchange& current)
+{
+    while (current.write_in_progress && !current.stopped &&
+           is_disconnected(current.socket))
+    {
+        co_await current.changed.wait();
+    }
+    if (current.stopped)
+    {
+        co_return asio::error::operation_aborted;
+    }
+    // Linux reports a reset as a broken pipe if the server had ended its own
+    // direction before, and otherwise as a reset.
+    if (current.write_failure == asio::error::broken_pipe)
+    {
+        co_return error_code();
+    }
+    co_return current.write_failure;
+}
+
 // Reads the next part of the body into part_buffer. A short answer with a
 // Content-Length is read completely before its first byte goes to the caller,
 // so that a retry is still possible if it ends early. Otherwise each part is
@@ -336,9 +360,12 @@
         current.input.commit(count);
         if (failure == asio::error::eof && this->ends_with_connection(current))
         {
-            failure = {};
-            current.parser->put_eof(failure);
-            continue;
+            failure = co_await this->connection_loss(current);
+            if (!failure)
+            {
+                current.parser->put_eof(failure);
+                continue;
+            }
         }
         if (failure)
         {
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -253,13 +253,15 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer watchdog;
     core::time_point watchdog_deadline{};
-    signal changed; ///< the sender has ended
+    signal changed; ///< a write or the sender has ended
     stop_cause cause = stop_cause::none;
     bool holds_slot = false;
     bool stopped = false;
 
     std::uint64_t bytes_written = 0;
     bool write_started = false;
+    bool write_in_progress = false;
+    boost::system::error_code write_failure; ///< of the write that has ended
     bool sender_ended = true;
     bool request_complete = false; ///< all request bytes are written
 
--- /dev/null
+++ b/standin/raw_server.cpp
@@ -0,0 +1,221 @@
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <standin/raw_server.hpp>
+
+namespace medlarbarrow::standin
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+using steady = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// Small, so that a client soon cannot send any more.
+constexpr int receive_buffer_bytes = 16384;
+
+/// A client that has sent nothing for this long, while input is unread, is
+/// taken to be unable to send.
+constexpr milliseconds stall_time{100};
+
+constexpr milliseconds check_period{5};
+
+/// Limit for waiting for a client that does not fill the buffers.
+constexpr std::chrono::seconds max_stall_wait{10};
+
+/// Value of a header in the text of a request; empty if it is missing.
+std::string header_value(std::string_view request, const std::string& name)
+{
+    const std::size_t line = request.find("\r\n" + name + ": ");
+    if (line == std::string_view::npos)
+    {
+        return {};
+    }
+    const std::size_t start = line + name.size() + 4;
+    return std::string(
+        request.substr(start, request.find("\r\n", start) - start));
+}
+
+std::string with_request_id(std::string text, const std::string& id)
+{
+    const std::string_view mark = raw_server::request_id_mark;
+    std::size_t position = text.find(mark);
+    while (position != std::string::npos)
+    {
+        text.replace(position, mark.size(), id);
+        position = text.find(mark, position + id.size());
+    }
+    return text;
+}
+
+} // namespace
+
+raw_server::raw_server(std::string id_name, raw_response given_response)
+    : request_id_name(std::move(id_name)), response(std::move(given_response)),
+      acceptor(this->context)
+{
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
+    this->acceptor.open(endpoint.protocol());
+    // Connections inherit it, and with it the window that they announce.
+    this->acceptor.set_option(
+        asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen();
+    this->listen_port = this->acceptor.local_endpoint().port();
+    this->thread = std::thread(
+        [this]
+        {
+            this->serve();
+        });
+}
+
+// The last connection wakes the thread that blocks in accept().
+raw_server::~raw_server()
+{
+    this->stopping = true;
+    asio::io_context wake_context;
+    tcp::socket wake_connection(wake_context);
+    error_code ignored;
+    wake_connection.connect(
+        {asio::ip::address_v4::loopback(), this->listen_port}, ignored);
+    wake_connection.close(ignored);
+    this->thread.join();
+}
+
+std::uint16_t raw_server::port() const noexcept
+{
+    return this->listen_port;
+}
+
+std::vector<std::string> raw_server::request_ids() const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->ids;
+}
+
+void raw_server::serve()
+{
+    std::vector<std::thread> connections;
+    while (!this->stopping)
+    {
+        error_code failure;
+        auto socket = std::make_unique<tcp::socket>(this->context);
+        this->acceptor.accept(*socket, failure);
+        if (!failure && !this->stopping)
+        {
+            connections.emplace_back(
+                [this, socket = std::move(socket)]
+                {
+                    this->serve_connection(*socket);
+                });
+        }
+    }
+    for (std::thread& connection : connections)
+    {
+        connection.join();
+    }
+}
+
+void raw_server::serve_connection(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::string input;
+    while (this->answer(socket, input))
+    {
+    }
+}
+
+// Answers the next request. False when the connection has ended.
+bool raw_server::answer(tcp::socket& socket, std::string& input)
+{
+    error_code failure;
+    const std::size_t length = asio::read_until(
+        socket, asio::dynamic_buffer(input), "\r\n\r\n", failure);
+    if (failure)
+    {
+        return false;
+    }
+    const std::string id =
+        header_value(input.substr(0, length), this->request_id_name);
+    {
+        const std::lock_guard guard(this->mutex);
+        this->ids.push_back(id);
+    }
+    input.erase(0, length);
+    if (input.size() < this->response.body_bytes_read)
+    {
+        asio::read(socket, asio::dynamic_buffer(input),
+                   asio::transfer_exactly(this->response.body_bytes_read -
+                                          input.size()),
+                   failure);
+    }
+    asio::write(socket, asio::buffer(with_request_id(this->response.text, id)),
+                failure);
+    if (this->response.waits_for_full_buffers)
+    {
+        this->wait_for_full_buffers(socket);
+    }
+    if (this->response.end == connection_end::none)
+    {
+        return !failure;
+    }
+    this->end(socket);
+    return false;
+}
+
+void raw_server::end(tcp::socket& socket)
+{
+    error_code ignored;
+    const connection_end how = this->response.end;
+    if (how == connection_end::end_then_reset ||
+        how == connection_end::end_then_ignore)
+    {
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    if (how == connection_end::end_then_reset)
+    {
+        std::this_thread::sleep_for(this->response.reset_delay);
+    }
+    if (how == connection_end::end_then_ignore || how == connection_end::ignore)
+    {
+        this->wait_until_stopped();
+    }
+    if (how == connection_end::reset || how == connection_end::end_then_reset)
+    {
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    socket.close(ignored);
+}
+
+void raw_server::wait_for_full_buffers(tcp::socket& socket) const
+{
+    error_code failure;
+    std::size_t unread = 0;
+    steady::time_point changed = steady::now();
+    const steady::time_point end = changed + max_stall_wait;
+    while (!failure && !this->stopping && steady::now() < end &&
+           (unread == 0 || steady::now() < changed + stall_time))
+    {
+        std::this_thread::sleep_for(check_period);
+        const std::size_t count = socket.available(failure);
+        if (count != unread)
+        {
+            unread = count;
+            changed = steady::now();
+        }
+    }
+}
+
+void raw_server::wait_until_stopped() const
+{
+    while (!this->stopping)
+    {
+        std::this_thread::sleep_for(check_period);
+    }
+}
+
+} // namespace medlarbarrow::standin
--- /dev/null
+++ b/standin/raw_server.hpp
@@ -0,0 +1,86 @@
+/// Test server that writes its responses byte for byte as a test gives them,
+/// and ends its connections as the test says.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace medlarbarrow::standin
+{
+
+/// What the server does with a connection after a response.
+enum class connection_end : std::uint8_t
+{
+    none,           ///< serves the next request on it
+    close,          ///< closes it regularly, or with a reset if input is unread
+    reset,          ///< closes it with a TCP reset
+    end_then_reset, ///< ends its own direction in order, then resets it
+    end_then_ignore, ///< ends its own direction in order and reads no more
+    ignore           ///< reads and writes no more, but leaves it open
+};
+
+/// One response and the behaviour around it.
+struct raw_response
+{
+    /// Written as it is, but for `request_id_mark`.
+    std::string text;
+    /// Bytes of the request's body that are read before the response.
+    std::size_t body_bytes_read = 0;
+    /// Whether the connection ends only once the client cannot send any more,
+    /// since the buffers of both sides are full.
+    bool waits_for_full_buffers = false;
+    connection_end end = connection_end::none;
+    /// Time between the end of the own direction and the reset.
+    std::chrono::milliseconds reset_delay{0};
+};
+
+/// Answers each request with the same response. Serves each connection on its
+/// own thread; the destructor waits for these threads, so clients must close
+/// their connections first.
+class raw_server
+{
+public:
+    /// Stands for the id of the request in the text of a response.
+    static constexpr std::string_view request_id_mark = "{id}";
+
+    /// `request_id_name` is the header that carries a request's id.
+    raw_server(std::string request_id_name, raw_response response);
+    ~raw_server();
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    std::uint16_t port() const noexcept;
+
+    /// Ids of the requests that have arrived, in order.
+    std::vector<std::string> request_ids() const;
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    void serve();
+    void serve_connection(tcp::socket& socket);
+    bool answer(tcp::socket& socket, std::string& input);
+    void end(tcp::socket& socket);
+    void wait_for_full_buffers(tcp::socket& socket) const;
+    void wait_until_stopped() const;
+
+    std::string request_id_name;
+    raw_response response;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    std::uint16_t listen_port = 0;
+    mutable std::mutex mutex; ///< guards `ids`
+    std::vector<std::string> ids;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace medlarbarrow::standin
--- /dev/null
+++ b/tests/broken_answer_fleet_test.cpp
@@ -0,0 +1,163 @@
+/// Real instances with servers in trouble: no client gets a broken answer as a
+/// complete one.
+#include "broken_answers.hpp"
+#include "planned_work_fixture.hpp"
+
+using namespace medlarbarrow;
+using namespace medlarbarrow::tests;
+using standin::connection_end;
+using standin::raw_response;
+
+namespace
+{
+
+/// What a client got back.
+struct client_answer
+{
+    unsigned status = 0; ///< 0: no whole head
+    bool complete = false;
+    std::size_t body_bytes = 0;
+};
+
+/// Far more than the buffers between client and server hold.
+constexpr std::size_t upload_bytes = 8U << 20U;
+
+/// Sends the text of a request and reads the answer at the same time.
+client_answer exchange(const tcp::endpoint& target, const std::string& text)
+{
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(target);
+    std::thread writer(
+        [&socket, &text]
+        {
+            error_code ignored;
+            asio::write(socket, asio::buffer(text), ignored);
+        });
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    error_code failure;
+    http::read(socket, buffer, parser, failure);
+    client_answer received;
+    received.complete = !failure;
+    if (parser.is_header_done())
+    {
+        received.status = parser.get().result_int();
+        received.body_bytes = parser.get().body().size();
+    }
+    // Ends a write that still waits.
+    socket.shutdown(tcp::socket::shutdown_both, failure);
+    writer.join();
+    return received;
+}
+
+} // namespace
+
+/// Given an instance whose servers all answer in the same broken way.
+class an_instance_with_broken_servers : public a_fleet_on_a_platform
+{
+protected:
+    void TearDown() override
+    {
+        a_fleet_on_a_platform::TearDown();
+        this->broken.clear();
+    }
+
+    void start(const raw_response& response)
+    {
+        constexpr unsigned slots = 4;
+        for (const char* name : {"b-1", "b-2"})
+        {
+            this->broken.push_back(std::make_unique<standin::raw_server>(
+                request_id_header, response));
+            this->store.put(
+                fmt::format("servers/{}", name),
+                make_server_item(this->broken.back()->port(), slots));
+        }
+        this->start_fleet(1);
+    }
+
+    /// Uploads to the path. The request must reach a server.
+    client_answer upload(const std::string& path, const std::string& id)
+    {
+        const client_answer received = exchange(
+            this->endpoint_of(0),
+            fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n{}: {}\r\n"
+                        "Content-Length: {}\r\n\r\n{}",
+                        path, request_id_header, id, upload_bytes,
+                        std::string(upload_bytes, 'u')));
+        EXPECT_TRUE(this->has_arrived(id)) << path;
+        return received;
+    }
+
+    bool has_arrived(const std::string& id) const
+    {
+        return std::any_of(this->broken.begin(), this->broken.end(),
+                           [&id](const auto& server)
+                           {
+                               const auto ids = server->request_ids();
+                               return std::find(ids.begin(), ids.end(), id) !=
+                                      ids.end();
+                           });
+    }
+
+    const answer_texts texts{platform::http_interface_names()};
+    std::vector<std::unique_ptr<standin::raw_server>> broken;
+};
+
+/// One way to break off: bytes of the answer's body that come, and bytes of the
+/// upload that the server reads before.
+struct broken_off
+{
+    std::size_t answered = 0;
+    std::size_t read = 0;
+};
+
+class an_instance_with_resetting_servers
+    : public an_instance_with_broken_servers,
+      public testing::WithParamInterface<broken_off>
+{
+};
+
+// Guards against a client that gets part of an answer as a complete one: the
+// server answers a long upload at once, without a length, and resets the
+// connection while a write of the upload waits.
+TEST_P(an_instance_with_resetting_servers, gives_clients_no_part_as_an_answer)
+{
+    const auto [answered, read] = GetParam();
+    this->start({this->texts.part(framing::until_close, answered), read, true,
+                 connection_end::reset});
+    for (const char* path : {"/order/1", "/browse/1"})
+    {
+        const client_answer received = this->upload(path, path + 1);
+        EXPECT_FALSE(received.complete && received.status / 100 == 2)
+            << path << ": " << received.status << " with "
+            << received.body_bytes << " bytes";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(of_each_part,
+                         an_instance_with_resetting_servers,
+                         testing::Values(broken_off{0, 0},
+                                         broken_off{0, 65536},
+                                         broken_off{8000, 0},
+                                         broken_off{8000, 65536},
+                                         broken_off{300000, 0},
+                                         broken_off{300000, 65536}));
+
+// Guards against a sound answer that clients lose: its server ended it in order
+// and then reset the rest of the upload.
+TEST_F(an_instance_with_broken_servers, gives_clients_what_ended_in_order)
+{
+    constexpr std::size_t body_bytes = 8000;
+    this->start({this->texts.whole(framing::until_close, body_bytes), 0, true,
+                 connection_end::end_then_reset});
+    for (const char* path : {"/order/1", "/browse/1"})
+    {
+        const client_answer received = this->upload(path, path + 1);
+        EXPECT_EQ(received.status, 200U) << path;
+        EXPECT_TRUE(received.complete) << path;
+        EXPECT_EQ(received.body_bytes, body_bytes) << path;
+    }
+}
--- /dev/null
+++ b/tests/broken_answer_test.cpp
@@ -0,0 +1,354 @@
+/// Attempts at servers in trouble: an answer that breaks off or is malformed
+/// never counts as an answer, whatever the upload is doing at that moment.
+#include "broken_answers.hpp"
+#include "recording_caller.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <platform/names.hpp>
+
+using namespace medlarbarrow;
+using namespace medlarbarrow::tests;
+using core::attempt_end;
+using standin::connection_end;
+using standin::raw_response;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::array framings{framing::length, framing::chunks,
+                              framing::until_close};
+
+/// Parts of an answer's body: none, one that the instance holds back and one
+/// that it streams.
+constexpr std::array part_sizes{std::size_t{0}, std::size_t{8000},
+                                std::size_t{300000}};
+
+/// Far more than the buffers of the connection to a server hold.
+constexpr std::size_t upload_bytes = 16U << 20U;
+
+/// Bytes of an upload that a server reads before it answers.
+constexpr std::array read_sizes{std::size_t{0}, std::size_t{65536}};
+
+/// Longer than a server takes to see that the buffers are full.
+constexpr milliseconds slow_write{250};
+
+/// A caller that uploads a body, and may take its time to accept the answer.
+class uploading_caller : public recording_caller
+{
+public:
+    uploading_caller(std::size_t bytes, milliseconds time_per_write)
+        : upload(bytes, 'u'), write_time(time_per_write)
+    {
+    }
+
+    asio::awaitable<net::body_part> read_body(std::uint64_t position,
+                                              const bool& /*stopped*/) override
+    {
+        const std::string_view rest =
+            std::string_view(this->upload).substr(position);
+        const std::string_view data = rest.substr(0, part_bytes);
+        this->bytes_read = position + data.size();
+        co_return net::body_part{data, data.size() == rest.size(), false};
+    }
+
+    asio::awaitable<bool> write_part(std::string_view part, bool last) override
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::steady_timer timer(executor, this->write_time);
+        co_await timer.async_wait(asio::use_awaitable);
+        const bool written =
+            co_await this->recording_caller::write_part(part, last);
+        co_return written;
+    }
+
+    /// True if a part of the upload has never been taken to be sent.
+    bool has_unsent_part() const
+    {
+        return this->bytes_read < this->upload.size();
+    }
+
+private:
+    static constexpr std::size_t part_bytes = 16384;
+
+    std::string upload;
+    milliseconds write_time;
+    std::size_t bytes_read = 0;
+};
+
+/// Given a server in trouble and an instance that sends it requests.
+class an_attempt : public testing::Test
+{
+protected:
+    an_attempt()
+    {
+        this->step.service = "logbook";
+        this->step.server.name = "logbook-1";
+        this->step.server.address = "127.0.0.1";
+        this->step.server.connections = 4;
+        this->request.method = "GET";
+        this->request.target = "/a";
+        this->request.id = "request-1";
+        this->request.lines = "Host: reef.example\r\n";
+    }
+
+    answer_texts texts() const
+    {
+        return answer_texts(this->names);
+    }
+
+    /// Sends the request to a new server that answers in this way.
+    core::attempt_result run(const raw_response& response)
+    {
+        standin::raw_server server(this->names.request_id, response);
+        asio::io_context io;
+        net::upstream servers(io.get_executor(), config::entry_bounds{},
+                              this->names);
+        this->step.server.port = server.port();
+        this->step.deadline = core::boot_clock::now() + seconds(20);
+        this->caller = std::make_shared<uploading_caller>(this->upload_size,
+                                                          this->write_time);
+        const running_attempt attempt(io, servers, this->step, this->request,
+                                      this->caller);
+        while (!attempt.result && io.run_one() > 0)
+        {
+        }
+        EXPECT_EQ(server.request_ids(), std::vector{this->request.id});
+        this->damaged = servers.counters().answers_damaged;
+        return attempt.result.value_or(core::attempt_result{});
+    }
+
+    void expect_no_answer(const raw_response& response)
+    {
+        const core::attempt_result result = this->run(response);
+        EXPECT_TRUE(result.end == attempt_end::closed_early ||
+                    result.end == attempt_end::answer_cut_off)
+            << "end " << static_cast<int>(result.end);
+        EXPECT_FALSE(this->caller->complete);
+        EXPECT_FALSE(result.answer.has_value());
+    }
+
+    void expect_whole_answer(const raw_response& response,
+                             std::size_t body_bytes)
+    {
+        const core::attempt_result result = this->run(response);
+        EXPECT_EQ(result.end, attempt_end::answered);
+        EXPECT_EQ(this->caller->status, 200U);
+        EXPECT_TRUE(this->caller->complete);
+        EXPECT_EQ(this->caller->body, std::string(body_bytes, 'a'));
+    }
+
+    net::http_interface names = platform::http_interface_names();
+    core::step_send step;
+    net::checked_request request;
+    std::size_t upload_size = 0;
+    milliseconds write_time{0};
+    std::shared_ptr<uploading_caller> caller;
+    std::uint64_t damaged = 0; ///< answers that the instance found damaged
+};
+
+/// Given an upload that fills the buffers, so that a write waits when the
+/// connection ends.
+class an_upload_that_waits : public an_attempt
+{
+protected:
+    an_upload_that_waits()
+    {
+        this->request.method = "POST";
+        this->upload_size = upload_bytes;
+        this->request.content_length = upload_bytes;
+    }
+
+    ~an_upload_that_waits() override
+    {
+        EXPECT_TRUE(this->caller->has_unsent_part());
+    }
+
+    /// Plays each beginning of an answer, after each part of the upload.
+    void expect_no_answer_from(connection_end end)
+    {
+        for (const framing how : framings)
+        {
+            for (const std::size_t part : part_sizes)
+            {
+                this->expect_no_answer_to(this->texts().part(how, part), end);
+            }
+        }
+    }
+
+    void expect_no_answer_to(const std::string& text, connection_end end)
+    {
+        for (const std::size_t read : read_sizes)
+        {
+            SCOPED_TRACE(fmt::format("{} bytes read, {} answered: {}", read,
+                                     text.size(), text.substr(0, 200)));
+            this->expect_no_answer({text, read, true, end});
+        }
+    }
+
+    void expect_whole_answers_from(connection_end end)
+    {
+        for (const framing how : framings)
+        {
+            for (const std::size_t size : part_sizes)
+            {
+                for (const milliseconds delay :
+                     {milliseconds(0), milliseconds(50)})
+                {
+                    SCOPED_TRACE(fmt::format("framing {}, {} bytes, {} ms",
+                                             static_cast<int>(how), size,
+                                             delay.count()));
+                    this->expect_whole_answer(
+                        {this->texts().whole(how, size), 0, true, end, delay},
+                        size);
+                }
+            }
+        }
+    }
+};
+
+/// Given, besides, a caller that is slow to accept the answer: the connection
+/// ends while nobody reads from it.
+class an_upload_of_a_slow_caller : public an_upload_that_waits
+{
+protected:
+    an_upload_of_a_slow_caller()
+    {
+        this->write_time = slow_write;
+    }
+};
+
+/// Given the interface of the project's own daemon, with which each answer must
+/// say where it ends.
+class an_upload_with_own_names : public an_upload_that_waits
+{
+protected:
+    an_upload_with_own_names()
+    {
+        this->names = net::http_interface{};
+    }
+};
+
+/// Given a request that may not be repeated, whose answer is kept.
+class an_upload_of_an_order : public an_upload_with_own_names
+{
+protected:
+    an_upload_of_an_order()
+    {
+        this->step.fresh_connection = true;
+        this->step.keep_answer = true;
+    }
+};
+
+} // namespace
+
+// Guards against an answer without a length whose connection is reset while the
+// upload goes on: the write that waits takes the error of the connection, and
+// the read after it sees an end in order.
+TEST_F(an_upload_that_waits, gets_no_answer_that_a_reset_broke_off)
+{
+    this->expect_no_answer_from(connection_end::reset);
+}
+
+// Guards against the same when the server's process ends or closes the
+// connection with the upload unread.
+TEST_F(an_upload_that_waits, gets_no_answer_from_a_server_that_leaves_it_unread)
+{
+    this->expect_no_answer_from(connection_end::close);
+}
+
+// Guards against the same in chunks: the upload has no length either.
+TEST_F(an_upload_that_waits, gets_no_answer_that_broke_off_if_it_has_no_length)
+{
+    this->request.content_length = std::nullopt;
+    this->request.chunked = true;
+    this->expect_no_answer_from(connection_end::reset);
+}
+
+// Guards against the same wherever else an answer may break off: in its head,
+// after interim answers, in an answer to another request and in the trailer.
+TEST_F(an_upload_that_waits, gets_no_answer_that_broke_off_anywhere)
+{
+    const std::string whole = this->texts().whole(framing::until_close, 100);
+    std::string foreign = whole;
+    foreign.replace(foreign.find("{id}"), 4, "request-0");
+    const std::string chunks =
+        this->texts().chunked_head() + answer_texts::chunk("aaaa");
+    for (const std::string& text :
+         {std::string(), std::string("HTTP/1.1 200 Sta"), this->texts().head(),
+          std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+          "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + whole, foreign,
+          chunks + "0\r\n", chunks + "0\r\nExpires: never\r\n"})
+    {
+        this->expect_no_answer_to(text, connection_end::reset);
+    }
+}
+
+// Guards against the same when the server's machine stops to take in bytes: the
+// write that waits takes the timeout of the connection.
+TEST_F(an_upload_that_waits, gets_no_answer_that_a_timeout_broke_off)
+{
+    const std::string text = this->texts().part(framing::until_close, 8000);
+    this->expect_no_answer({text, 0, true, connection_end::ignore});
+}
+
+// Guards against a fix that drops sound answers too: the server ended its
+// answer in order, and only then reset the rest of the upload.
+TEST_F(an_upload_that_waits, gets_the_answer_that_ended_before_the_reset)
+{
+    this->expect_whole_answers_from(connection_end::end_then_reset);
+}
+
+// Guards against an answer that ended in order and waits for an upload that its
+// server does not read.
+TEST_F(an_upload_that_waits, gets_the_answer_of_a_server_that_reads_no_more)
+{
+    this->expect_whole_answers_from(connection_end::end_then_ignore);
+}
+
+// Guards against an answer that broke off while its caller took its time: the
+// read begins only after the write has taken the error.
+TEST_F(an_upload_of_a_slow_caller, gets_no_answer_that_a_reset_broke_off)
+{
+    this->expect_no_answer_to(this->texts().part(framing::until_close, 8000),
+                              connection_end::reset);
+    this->expect_no_answer_to(this->texts().part(framing::until_close, 8000),
+                              connection_end::close);
+}
+
+// Guards against the loss of an answer that ended in order: the write that
+// waits finds a broken pipe before the read sees the end.
+TEST_F(an_upload_of_a_slow_caller, gets_the_answer_that_ended_before_the_reset)
+{
+    this->expect_whole_answer({this->texts().whole(framing::until_close, 8000),
+                               0, true, connection_end::end_then_reset},
+                              8000);
+}
+
+// Guards against a whole answer that is dropped because of the reset after it:
+// most of it is read only then.
+TEST_F(an_upload_of_a_slow_caller, gets_the_framed_answer_that_came_whole)
+{
+    constexpr std::size_t body_bytes = 100000;
+    for (const framing how : {framing::length, framing::chunks})
+    {
+        this->expect_whole_answer({this->texts().whole(how, body_bytes), 0,
+                                   true, connection_end::reset},
+                                  body_bytes);
+    }
+}
+
+// Guards against an answer that broke off and is complete for the callers of
+// the project's own daemon.
+TEST_F(an_upload_with_own_names, gets_no_answer_that_a_reset_broke_off)
+{
+    this->expect_no_answer_from(connection_end::reset);
+}
+
+// Guards against an answer that broke off and is kept for repeats of its order.
+TEST_F(an_upload_of_an_order, keeps_no_answer_that_a_reset_broke_off)
+{
+    this->expect_no_answer_from(connection_end::reset);
+}
--- /dev/null
+++ b/tests/broken_answers.hpp
@@ -0,0 +1,93 @@
+/// Texts of answers that servers in trouble send.
+#pragma once
+
+#include <fmt/format.h>
+#include <medlarbarrow/net/headers.hpp>
+#include <standin/raw_server.hpp>
+#include <string>
+
+namespace medlarbarrow::tests
+{
+
+/// How an answer tells where its body ends.
+enum class framing
+{
+    length,
+    chunks,
+    until_close
+};
+
+/// Builds the texts of answers to a request, as a server of one HTTP interface
+/// writes them.
+class answer_texts
+{
+public:
+    explicit answer_texts(net::http_interface interface_names)
+        : names(std::move(interface_names))
+    {
+    }
+
+    /// Head of an answer without its framing and its last, empty line.
+    std::string head(std::string_view status = "200") const
+    {
+        std::string text = fmt::format("HTTP/1.1 {} Status\r\n{}: {}\r\n",
+                                       status, this->names.request_id,
+                                       standin::raw_server::request_id_mark);
+        if (!this->names.success_mark.empty())
+        {
+            text += this->names.success_mark + ": valid\r\n";
+        }
+        return text;
+    }
+
+    /// A whole answer, unless it ends with its connection.
+    std::string whole(framing how, std::size_t body_bytes) const
+    {
+        const std::string body(body_bytes, 'a');
+        switch (how)
+        {
+        case framing::length:
+            return this->head() + fmt::format("Content-Length: {}\r\n\r\n{}",
+                                              body_bytes, body);
+        case framing::chunks:
+            return this->chunked_head() + chunk(body) + "0\r\n\r\n";
+        case framing::until_close:
+            break;
+        }
+        return this->head() + "\r\n" + body;
+    }
+
+    /// The beginning of an answer, with a part of its body.
+    std::string part(framing how, std::size_t part_bytes) const
+    {
+        const std::string body(part_bytes, 'a');
+        switch (how)
+        {
+        case framing::length:
+            return this->head() + fmt::format("Content-Length: {}\r\n\r\n{}",
+                                              2 * part_bytes + 1, body);
+        case framing::chunks:
+            return this->chunked_head() + chunk(body);
+        case framing::until_close:
+            break;
+        }
+        return this->head() + "\r\n" + body;
+    }
+
+    std::string chunked_head() const
+    {
+        return this->head() + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    /// The chunk of a body; empty for an empty part, which would end the body.
+    static std::string chunk(const std::string& body)
+    {
+        return body.empty() ? std::string()
+                            : fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+    }
+
+private:
+    net::http_interface names;
+};
+
+} // namespace medlarbarrow::tests
