Test answers with status 000 and malformed names, which are rejected

Both held already on; only tests are added.

Why they hold: the parser takes only token characters for a name, so such a head is damaged bytes; a status below 200 that isn't an interim one is no final answer. A client gets 502.

Places: a server's final and interim answers and the trailer, with the names of both daemons; real processes, a route that may be repeated and one that may not; documents from the store or another instance and the state that medlarctl reads, which also are never part of an answer that was reset. Messages between instances (HTTP/2) carry their length, and any error of a read or a write ends the link: looked at, no test.

--- a/standin/raw_server.hpp
+++ b/standin/raw_server.hpp
@@ -40,6 +40,8 @@
     connection_end end = connection_end::none;
     /// Time between the end of the own direction and the reset.
     std::chrono::milliseconds reset_delay{0};
+    /// Bytes that are written at once, each in a segment of its own; 0: all.
+    std::size_t segment_bytes = 0;
 };
 
 /// Answers each request with the same response. Serves each connection on its
@@ -68,6 +70,7 @@
     void serve();
     void serve_connection(tcp::socket& socket);
     bool answer(tcp::socket& socket, std::string& input);
+    void write(tcp::socket& socket, std::string_view text) const;
     void end(tcp::socket& socket);
     void wait_for_full_buffers(tcp::socket& socket) const;
     void wait_until_stopped() const;
--- a/tests/broken_answer_fleet_test.cpp
+++ b/tests/broken_answer_fleet_test.cpp
@@ -106,6 +106,50 @@
     std::vector<std::unique_ptr<standin::raw_server>> broken;
 };
 
+/// An answer in whose head one line is malformed.
+struct malformed_head
+{
+    const char* status;
+    const char* lines;
+};
+
+class an_instance_with_servers_of_malformed_heads
+    : public an_instance_with_broken_servers,
+      public testing::WithParamInterface<malformed_head>
+{
+};
+
+// Guards against a client that gets a malformed answer, or one with a body that
+// is not the server's.
+TEST_P(an_instance_with_servers_of_malformed_heads, tells_clients_of_the_fault)
+{
+    this->start(
+        {this->texts.head(GetParam().status) + GetParam().lines + "\r\nabc", 0,
+         false, connection_end::close});
+    for (const char* path : {"/order/1", "/browse/1"})
+    {
+        const std::string id = path + 1;
+        const client_answer received =
+            exchange(this->endpoint_of(0),
+                     fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
+                                 "{}: {}\r\n\r\n",
+                                 path, request_id_header, id));
+        EXPECT_TRUE(this->has_arrived(id));
+        EXPECT_EQ(received.status, 502U) << path;
+        EXPECT_TRUE(received.complete) << path;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    of_each_kind,
+    an_instance_with_servers_of_malformed_heads,
+    testing::Values(
+        malformed_head{"000", "Content-Length: 3\r\n"},
+        malformed_head{"000", ""},
+        malformed_head{"200", "Two Words: 1\r\nContent-Length: 3\r\n"},
+        malformed_head{"200", "Content-Length : 2\r\n"},
+        malformed_head{"200", "Control\x01: 1\r\nContent-Length: 3\r\n"}));
+
 /// One way to break off: bytes of the answer's body that come, and bytes of the
 /// upload that the server reads before.
 struct broken_off
--- a/tests/broken_answers.hpp
+++ b/tests/broken_answers.hpp
@@ -5,6 +5,7 @@
 #include <medlarbarrow/net/headers.hpp>
 #include <standin/raw_server.hpp>
 #include <string>
+#include <vector>
 
 namespace medlarbarrow::tests
 {
@@ -74,6 +75,39 @@
         return this->head() + "\r\n" + body;
     }
 
+    /// Whole answers with a first line that states no valid status.
+    std::vector<std::string> with_bad_status() const
+    {
+        std::vector<std::string> texts;
+        for (const char* status :
+             {"000", "001", "099", "0", "20", "2000", "-20", "2x0", "\x01\x32"})
+        {
+            texts.push_back(this->head(status) +
+                            "Content-Length: 3\r\n\r\nabc");
+            texts.push_back(this->head(status) + "\r\nabc");
+        }
+        return texts;
+    }
+
+    /// Whole answers in whose head the name of one field is malformed. Some of
+    /// these fields state the length of the body.
+    std::vector<std::string> with_bad_name() const
+    {
+        using namespace std::string_literals;
+        std::vector<std::string> texts;
+        for (const std::string& line :
+             {"Two Words: 1"s, "Blank : 1"s, "Tab\t: 1"s, "Ta\tb: 1"s,
+              "Control\x01: 1"s, "\x7f: 1"s, "N\0ul: 1"s, "Return\r: 1"s,
+              ": 1"s, "No colon"s, "Content Length: 3"s, "Content-Length : 3"s,
+              "Transfer-Encoding : chunked"s})
+        {
+            texts.push_back(this->head() + line + "\r\n\r\nabc");
+            texts.push_back(this->head() + line +
+                            "\r\nContent-Length: 3\r\n\r\nabc");
+        }
+        return texts;
+    }
+
     std::string chunked_head() const
     {
         return this->head() + "Transfer-Encoding: chunked\r\n\r\n";
