Reject an answer with a folded header line

What callers saw: a head line that begins with a blank was joined to the line above it, and the answer passed on as a success. So a server in trouble could change what any line says, the header of a success too, and a framing line that is folded away left a body that wasn't the server's.

Cause: the parser accepts line folding and replaces it by a space. RFC 9112, section 5.2, wants a proxy to replace it or to discard the answer with 502.

Judgement: it may not pass. Servers of today don't fold lines; a line that begins with a blank is damage, and which line was meant can't be known.

Change: upstream reads a header itself, and checks the lines that have arrived before the parser sees them, with the check that callers' requests get. The parser takes whole lines only and wants the byte after a line's end first, so a folded line is always seen together with the one above it. Reading into the input buffer stands once now, for header and body. The store's answers keep folding: only status and body are read there.

--- a/medlarbarrow/net/headers.cpp
+++ b/medlarbarrow/net/headers.cpp
@@ -608,6 +608,20 @@
     return true;
 }
 
+bool is_well_formed_beginning(std::string_view input)
+{
+    if (input.starts_with("\r\n"))
+    {
+        return true; // the empty line at the end
+    }
+    std::string_view lines = input.substr(0, input.find("\r\n\r\n"));
+    if (lines.ends_with('\r'))
+    {
+        lines.remove_suffix(1); // its line feed may follow
+    }
+    return is_well_formed_header(lines);
+}
+
 core::result<checked_request>
 check_request(const http::request_header<>& header, const http_interface& names)
 {
--- a/medlarbarrow/net/headers.hpp
+++ b/medlarbarrow/net/headers.hpp
@@ -79,6 +79,10 @@
 /// these differently, which request smuggling exploits.
 bool is_well_formed_header(std::string_view head);
 
+/// The same for the lines of a header that have arrived but are not parsed yet,
+/// up to the end of the header. The last of them may be incomplete.
+bool is_well_formed_beginning(std::string_view input);
+
 /// Checks a parsed header and builds the request to forward. Error:
 /// bad_request.
 core::result<checked_request>
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -178,6 +178,9 @@
     asio::awaitable<bool> read_head(exchange& current,
                                     const checked_request& request,
                                     caller_channel& caller);
+    asio::awaitable<boost::system::error_code> read_some(exchange& current,
+                                                         std::size_t max_bytes);
+    asio::awaitable<boost::system::error_code> read_header(exchange& current);
     asio::awaitable<boost::system::error_code>
     connection_loss(exchange& current);
     asio::awaitable<bool> read_part(exchange& current);
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -1,4 +1,3 @@
-#include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <medlarbarrow/core/server_holds.hpp>
 #include <medlarbarrow/net/socket_state.hpp>
@@ -24,6 +23,9 @@
 /// skipped before the expected answer.
 constexpr unsigned max_skipped_answers = 8;
 
+/// Bytes that are read at once while a header is incomplete.
+constexpr std::size_t header_read_bytes = 4096;
+
 /// A longer body of an answer to another request is not read to its end: the
 /// connection is closed instead.
 constexpr std::size_t max_discarded_bytes = 4U << 20U;
@@ -212,6 +214,40 @@
     co_return proceed;
 }
 
+// Reads further bytes into the input buffer.
+asio::awaitable<error_code> upstream::read_some(exchange& current,
+                                                std::size_t max_bytes)
+{
+    const std::size_t room = current.input.max_size() - current.input.size();
+    if (room == 0)
+    {
+        co_return http::error::buffer_overflow;
+    }
+    error_code failure;
+    const auto target =
+        current.input.prepare(room < max_bytes ? room : max_bytes);
+    const std::size_t count = co_await current.socket.async_read_some(
+        target, asio::redirect_error(asio::use_awaitable, failure));
+    current.input.commit(count);
+    co_return failure;
+}
+
+// Reads the header of the next answer, final or not. The parser alone would
+// join a line that begins with a blank to the one above it.
+asio::awaitable<error_code> upstream::read_header(exchange& current)
+{
+    error_code failure = current.parse_header();
+    while (!failure && !current.parser->is_header_done())
+    {
+        failure = co_await this->read_some(current, header_read_bytes);
+        if (!failure)
+        {
+            failure = current.parse_header();
+        }
+    }
+    co_return failure;
+}
+
 // Reads the final header of the answer, after interim answers. False when there
 // is none or it is invalid.
 asio::awaitable<bool> upstream::read_head(exchange& current,
@@ -225,9 +261,7 @@
         current.parser->header_limit(max_answer_header_bytes);
         current.parser->body_limit(boost::none);
         current.parser->skip(request.method == "HEAD");
-        co_await http::async_read_header(
-            current.socket, current.input, *current.parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        failure = co_await this->read_header(current);
         if (failure)
         {
             break;
@@ -344,20 +378,13 @@
         {
             break;
         }
-        const std::size_t room =
-            current.input.max_size() - current.input.size();
-        if (room == 0)
+        error_code failure =
+            co_await this->read_some(current, this->part_bytes);
+        if (failure == http::error::buffer_overflow)
         {
             current.reject_bytes("a line of the body without an end");
             break;
         }
-        error_code failure;
-        const std::size_t read_size =
-            room < this->part_bytes ? room : this->part_bytes;
-        const auto target = current.input.prepare(read_size);
-        const std::size_t count = co_await current.socket.async_read_some(
-            target, asio::redirect_error(asio::use_awaitable, failure));
-        current.input.commit(count);
         if (failure == asio::error::eof && this->ends_with_connection(current))
         {
             failure = co_await this->connection_loss(current);
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -121,6 +121,25 @@
         this->changed.notify();
     }
 
+    /// Parses the buffered part of a header.
+    boost::system::error_code parse_header()
+    {
+        const auto bytes = this->input.data();
+        const std::string_view text(static_cast<const char*>(bytes.data()),
+                                    bytes.size());
+        if (!is_well_formed_beginning(text))
+        {
+            return http::error::bad_field;
+        }
+        boost::system::error_code failure;
+        this->input.consume(this->parser->put(bytes, failure));
+        if (failure == http::error::need_more)
+        {
+            failure = {};
+        }
+        return failure;
+    }
+
     /// Decodes buffered input into `part_buffer`. False when it is malformed.
     bool decode()
     {
--- a/tests/broken_answer_fleet_test.cpp
+++ b/tests/broken_answer_fleet_test.cpp
@@ -148,7 +148,9 @@
         malformed_head{"000", ""},
         malformed_head{"200", "Two Words: 1\r\nContent-Length: 3\r\n"},
         malformed_head{"200", "Content-Length : 2\r\n"},
-        malformed_head{"200", "Control\x01: 1\r\nContent-Length: 3\r\n"}));
+        malformed_head{"200", "Control\x01: 1\r\nContent-Length: 3\r\n"},
+        malformed_head{"200", " folded\r\nContent-Length: 3\r\n"},
+        malformed_head{"200", "A: b\r\n Content-Length: 2\r\n"}));
 
 /// One way to break off: bytes of the answer's body that come, and bytes of the
 /// upload that the server reads before.
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -377,8 +377,28 @@
     this->expect_none_is_an_answer(&answer_texts::with_bad_name);
 }
 
-// Guards against a sound answer that is refused because of how its bytes come,
-// or because its body begins with blanks.
+// Guards against a line that begins with a blank and changes what the line
+// above it says, such as the header of a success, or that is lost to it, such
+// as the length of the body.
+TEST_F(an_attempt_at_a_malformed_head, gets_no_answer_with_a_folded_line)
+{
+    this->expect_none_is_an_answer(&answer_texts::with_folded_line);
+}
+
+// Guards against a folded line that is seen only if its bytes come together.
+TEST_F(an_attempt_at_a_malformed_head, gets_no_folded_line_byte_by_byte)
+{
+    for (const std::string& text : this->texts().with_folded_line())
+    {
+        SCOPED_TRACE(text);
+        raw_response response{text, 0, false, connection_end::close};
+        response.segment_bytes = 1;
+        this->expect_rejected(response);
+    }
+}
+
+// Guards against a sound answer that is taken for a folded one because of how
+// its bytes come, or because its body begins with blanks.
 TEST_F(an_attempt_at_a_malformed_head, gets_a_sound_answer_byte_by_byte)
 {
     for (const std::size_t segment_bytes : {1, 2, 3, 0})
@@ -398,7 +418,7 @@
 TEST_F(an_attempt_at_a_malformed_head, gets_no_answer_after_a_bad_interim_one)
 {
     const std::string sound = this->texts().whole(framing::length, 3);
-    for (const char* line : {"Two Words: 1", "Blank : 1"})
+    for (const char* line : {"Two Words: 1", "Blank : 1", "A: b\r\n folded"})
     {
         SCOPED_TRACE(line);
         this->expect_no_answer({"HTTP/1.1 103 Early Hints\r\n" +
--- a/tests/broken_answers.hpp
+++ b/tests/broken_answers.hpp
@@ -108,6 +108,30 @@
         return texts;
     }
 
+    /// Whole answers in whose head one line begins with a blank: it would
+    /// change what the line above it says, or be a field of its own.
+    std::vector<std::string> with_folded_line() const
+    {
+        std::vector<std::string> texts;
+        for (const char* line : {" folded", "\tfolded", " Content-Length: 3",
+                                 "\tTransfer-Encoding: chunked", " ", "\t "})
+        {
+            // Below the header of a success or the request id, below any other
+            // and below the status line.
+            const std::string last = std::string(line) + "\r\n";
+            const std::string length = "Content-Length: 3\r\n";
+            texts.push_back(this->head() + last + "\r\nabc");
+            texts.push_back(this->head() + last + length + "\r\nabc");
+            texts.push_back(this->head() + length + last + "\r\nabc");
+            texts.push_back(this->head() + "A: b\r\n" + last + length +
+                            "\r\nabc");
+            std::string first = this->head() + length + "\r\nabc";
+            first.insert(first.find("\r\n") + 2, last);
+            texts.push_back(first);
+        }
+        return texts;
+    }
+
     std::string chunked_head() const
     {
         return this->head() + "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/headers_test.cpp
+++ b/tests/headers_test.cpp
@@ -190,3 +190,23 @@
         EXPECT_FALSE(net::trace::parse(malformed)) << malformed;
     }
 }
+
+// Guards against a header that is refused because only part of it has arrived,
+// and against a line that is joined to the one above it when the rest comes.
+TEST(unparsed_header, is_checked_up_to_its_end)
+{
+    const std::string sound =
+        "HTTP/1.1 200 OK\r\nA: b c\r\nB:\r\n\r\n \r\n \x01";
+    for (std::size_t size = 0; size <= sound.size(); ++size)
+    {
+        EXPECT_TRUE(net::is_well_formed_beginning(sound.substr(0, size)))
+            << size;
+    }
+    // The lines above it have been parsed already.
+    EXPECT_TRUE(net::is_well_formed_beginning("\r\n \r\n"));
+    EXPECT_FALSE(net::is_well_formed_beginning("A: b\r\n c"));
+    EXPECT_FALSE(net::is_well_formed_beginning("A: b\r\n\tc\r\n\r\n"));
+    EXPECT_FALSE(net::is_well_formed_beginning(" A: b\r\n"));
+    EXPECT_FALSE(net::is_well_formed_beginning("A: b\nC: d\r\n"));
+    EXPECT_FALSE(net::is_well_formed_beginning("A: \x01"));
+}
