Share the listener of the blocking test servers

raw_server had repeated scripted_server's accept loop, its end and the look at a header. thread_per_connection holds them now. No test changed.

--- a/standin/raw_server.cpp
+++ b/standin/raw_server.cpp
@@ -29,19 +29,6 @@
 /// Limit for waiting for a client that does not fill the buffers.
 constexpr std::chrono::seconds max_stall_wait{10};
 
-/// Value of a header in the text of a request; empty if it is missing.
-std::string header_value(std::string_view request, const std::string& name)
-{
-    const std::size_t line = request.find("\r\n" + name + ": ");
-    if (line == std::string_view::npos)
-    {
-        return {};
-    }
-    const std::size_t start = line + name.size() + 4;
-    return std::string(
-        request.substr(start, request.find("\r\n", start) - start));
-}
-
 std::string with_request_id(std::string text, const std::string& id)
 {
     const std::string_view mark = raw_server::request_id_mark;
@@ -58,39 +45,13 @@
 
 raw_server::raw_server(std::string id_name, raw_response given_response)
     : request_id_name(std::move(id_name)), response(std::move(given_response)),
-      acceptor(this->context)
-{
-    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
-    this->acceptor.open(endpoint.protocol());
-    // Connections inherit it, and with it the window that they announce.
-    this->acceptor.set_option(
-        asio::socket_base::receive_buffer_size(receive_buffer_bytes));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
-    this->listen_port = this->acceptor.local_endpoint().port();
-    this->thread = std::thread(
-        [this]
-        {
-            this->serve();
-        });
-}
-
-// The last connection wakes the thread that blocks in accept().
-raw_server::~raw_server()
-{
-    this->stopping = true;
-    asio::io_context wake_context;
-    tcp::socket wake_connection(wake_context);
-    error_code ignored;
-    wake_connection.connect(
-        {asio::ip::address_v4::loopback(), this->listen_port}, ignored);
-    wake_connection.close(ignored);
-    this->thread.join();
-}
-
-std::uint16_t raw_server::port() const noexcept
+      listener(
+          [this](tcp::socket& socket)
+          {
+              this->serve_connection(socket);
+          },
+          receive_buffer_bytes)
 {
-    return this->listen_port;
 }
 
 std::vector<std::string> raw_server::request_ids() const
@@ -99,29 +60,6 @@
     return this->ids;
 }
 
-void raw_server::serve()
-{
-    std::vector<std::thread> connections;
-    while (!this->stopping)
-    {
-        error_code failure;
-        auto socket = std::make_unique<tcp::socket>(this->context);
-        this->acceptor.accept(*socket, failure);
-        if (!failure && !this->stopping)
-        {
-            connections.emplace_back(
-                [this, socket = std::move(socket)]
-                {
-                    this->serve_connection(*socket);
-                });
-        }
-    }
-    for (std::thread& connection : connections)
-    {
-        connection.join();
-    }
-}
-
 void raw_server::serve_connection(tcp::socket& socket)
 {
     error_code ignored;
@@ -213,7 +151,7 @@
     std::size_t unread = 0;
     steady::time_point changed = steady::now();
     const steady::time_point end = changed + max_stall_wait;
-    while (!failure && !this->stopping && steady::now() < end &&
+    while (!failure && !this->listener.is_stopping() && steady::now() < end &&
            (unread == 0 || steady::now() < changed + stall_time))
     {
         std::this_thread::sleep_for(check_period);
@@ -228,7 +166,7 @@
 
 void raw_server::wait_until_stopped() const
 {
-    while (!this->stopping)
+    while (!this->listener.is_stopping())
     {
         std::this_thread::sleep_for(check_period);
     }
--- a/standin/raw_server.hpp
+++ b/standin/raw_server.hpp
@@ -2,15 +2,9 @@
 /// and ends its connections as the test says.
 #pragma once
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
-#include <cstdint>
 #include <mutex>
-#include <string>
-#include <string_view>
-#include <thread>
+#include <standin/thread_per_connection.hpp>
 #include <vector>
 
 namespace medlarbarrow::standin
@@ -44,9 +38,8 @@
     std::size_t segment_bytes = 0;
 };
 
-/// Answers each request with the same response. Serves each connection on its
-/// own thread; the destructor waits for these threads, so clients must close
-/// their connections first.
+/// Answers each request with the same response. Clients must close their
+/// connections before it is destroyed.
 class raw_server
 {
 public:
@@ -55,11 +48,11 @@
 
     /// `request_id_name` is the header that carries a request's id.
     raw_server(std::string request_id_name, raw_response response);
-    ~raw_server();
-    raw_server(const raw_server&) = delete;
-    raw_server& operator=(const raw_server&) = delete;
 
-    std::uint16_t port() const noexcept;
+    std::uint16_t port() const noexcept
+    {
+        return this->listener.port();
+    }
 
     /// Ids of the requests that have arrived, in order.
     std::vector<std::string> request_ids() const;
@@ -67,7 +60,6 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
-    void serve();
     void serve_connection(tcp::socket& socket);
     bool answer(tcp::socket& socket, std::string& input);
     void write(tcp::socket& socket, std::string_view text) const;
@@ -77,13 +69,9 @@
 
     std::string request_id_name;
     raw_response response;
-    boost::asio::io_context context;
-    tcp::acceptor acceptor;
-    std::uint16_t listen_port = 0;
     mutable std::mutex mutex; ///< guards `ids`
     std::vector<std::string> ids;
-    std::atomic<bool> stopping{false};
-    std::thread thread;
+    thread_per_connection listener; ///< last, as its threads use the others
 };
 
 } // namespace medlarbarrow::standin
--- a/standin/scripted_server.cpp
+++ b/standin/scripted_server.cpp
@@ -72,45 +72,19 @@
     return open;
 }
 
-std::string header_value(std::string_view request, const std::string& name)
-{
-    const std::size_t line_start = request.find(name + ": ");
-    if (line_start == std::string_view::npos)
-    {
-        return {};
-    }
-    const std::size_t value_start = line_start + name.size() + 2;
-    return std::string(request.substr(
-        value_start, request.find("\r\n", value_start) - value_start));
-}
-
 } // namespace
 
 scripted_server::scripted_server(scripted_header_names header_names)
-    : names(std::move(header_names)),
-      acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
-      listen_port(this->acceptor.local_endpoint().port()),
-      thread(
-          [this]
-          {
-              this->serve();
-          })
+    : names(std::move(header_names)), listener(
+                                          [this](tcp::socket& socket)
+                                          {
+                                              ++this->connections_open;
+                                              this->serve_connection(socket);
+                                              --this->connections_open;
+                                          })
 {
 }
 
-// The last connection wakes the thread that blocks in accept().
-scripted_server::~scripted_server()
-{
-    this->stopping = true;
-    asio::io_context context;
-    tcp::socket wake_connection(context);
-    error_code ignored;
-    wake_connection.connect(
-        {asio::ip::make_address("127.0.0.1"), this->listen_port}, ignored);
-    wake_connection.close(ignored);
-    this->thread.join();
-}
-
 void scripted_server::play(std::vector<response_kind> new_script)
 {
     const std::lock_guard guard(this->mutex);
@@ -130,11 +104,6 @@
     return this->executed_ids;
 }
 
-std::uint16_t scripted_server::port() const noexcept
-{
-    return this->listen_port;
-}
-
 std::string scripted_server::body_of(std::string_view id)
 {
     std::string body;
@@ -152,33 +121,6 @@
                                                 : response_kind::with_length;
 }
 
-// Accepts connections and serves each on its own thread, which ends at the
-// latest when the client closes the connection.
-void scripted_server::serve()
-{
-    std::vector<std::thread> connections;
-    while (!this->stopping)
-    {
-        error_code failure;
-        auto socket = std::make_unique<tcp::socket>(this->context);
-        this->acceptor.accept(*socket, failure);
-        if (!failure && !this->stopping)
-        {
-            connections.emplace_back(
-                [this, socket = std::move(socket)]
-                {
-                    ++this->connections_open;
-                    this->serve_connection(*socket);
-                    --this->connections_open;
-                });
-        }
-    }
-    for (std::thread& connection : connections)
-    {
-        connection.join();
-    }
-}
-
 void scripted_server::serve_connection(tcp::socket& socket)
 {
     std::string input;
--- a/standin/scripted_server.hpp
+++ b/standin/scripted_server.hpp
@@ -2,14 +2,8 @@
 /// script says, including malformed and truncated responses.
 #pragma once
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <cstdint>
 #include <mutex>
-#include <string>
-#include <string_view>
-#include <thread>
+#include <standin/thread_per_connection.hpp>
 #include <vector>
 
 namespace medlarbarrow::standin
@@ -79,15 +73,11 @@
     bool reset = false;      ///< ends with a TCP reset
 };
 
-/// Serves each connection on its own thread. The destructor waits for these
-/// threads, so clients must close their connections first.
+/// Clients must close their connections before it is destroyed.
 class scripted_server
 {
 public:
     explicit scripted_server(scripted_header_names names);
-    ~scripted_server();
-    scripted_server(const scripted_server&) = delete;
-    scripted_server& operator=(const scripted_server&) = delete;
 
     /// Replaces the script. Requests after its end are answered with_length.
     void play(std::vector<response_kind> new_script);
@@ -109,13 +99,15 @@
     /// connection. For kinds that consist of one valid response.
     std::string response_text(response_kind kind, const std::string& id) const;
 
-    std::uint16_t port() const noexcept;
+    std::uint16_t port() const noexcept
+    {
+        return this->listener.port();
+    }
 
     /// Body of the response to a request with this id.
     static std::string body_of(std::string_view id);
 
 private:
-    void serve();
     void serve_connection(boost::asio::ip::tcp::socket& socket);
     response_kind next_manner();
     bool answer_cut(boost::asio::ip::tcp::socket& socket,
@@ -138,17 +130,13 @@
     std::string refusal(const std::string& id) const;
 
     scripted_header_names names;
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor;
-    std::uint16_t listen_port = 0;
     mutable std::mutex mutex; ///< guards the members below
     std::vector<response_kind> script;
     std::size_t position = 0;
     std::vector<std::string> executed_ids;
     response_cut cut;
     std::atomic<int> connections_open{0};
-    std::atomic<bool> stopping{false};
-    std::thread thread;
+    thread_per_connection listener; ///< last, as its threads use the others
 };
 
 } // namespace medlarbarrow::standin
