--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -64,9 +64,7 @@
 bool is_parse_error(const error_code& failure)
 {
     return failure.category() ==
-               http::make_error_code(http::error::bad_line_ending).category() &&
-           failure != http::error::end_of_stream &&
-           failure != http::error::partial_message;
+           http::make_error_code(http::error::bad_line_ending).category();
 }
 
 /// Status and header lines of the parsed answer for the caller.
