Test a later write that finds the reset; check each upload

A client that uploads slowly and accepts the answer slowly has no write that waits when the reset comes; the next one takes its error before the read. Also: every upload of broken_answer_test is checked to be cut short, not only the last of a test, and documents are reset only after they were delivered.

--- a/medlarbarrow/net/socket_state.hpp
+++ b/medlarbarrow/net/socket_state.hpp
@@ -1,4 +1,4 @@
-/// State of a connected socket, without taking input or errors from it.
+/// State of a connected socket, without taking input from it.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +11,8 @@
 
 /// For a connection that is idle between two exchanges. False when the server
 /// has closed it or has sent bytes that belong to no request. Such bytes must
-/// never be taken for the next answer.
+/// never be taken for the next answer. Takes an error of the connection, so it
+/// is not for one in use.
 inline bool is_open_without_input(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
@@ -21,8 +22,8 @@
 }
 
 /// True when the connection has ended in both directions, by a reset or a
-/// timeout. A peer that has ended its own direction only can still be written
-/// to.
+/// timeout, also if its error has been taken. A peer that has ended its own
+/// direction only can still be written to.
 inline bool is_disconnected(boost::asio::ip::tcp::socket& socket)
 {
     pollfd state{socket.native_handle(), 0, 0};
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -280,7 +280,7 @@
     std::uint64_t bytes_written = 0;
     bool write_started = false;
     bool write_in_progress = false;
-    boost::system::error_code write_failure; ///< of the write that has ended
+    boost::system::error_code write_failure; ///< of the last write
     bool sender_ended = true;
     bool request_complete = false; ///< all request bytes are written
 
--- a/standin/raw_server.cpp
+++ b/standin/raw_server.cpp
@@ -130,16 +130,13 @@
     {
         socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
-    if (how == connection_end::end_then_reset)
-    {
-        std::this_thread::sleep_for(this->response.reset_delay);
-    }
     if (how == connection_end::end_then_ignore || how == connection_end::ignore)
     {
         this->wait_until_stopped();
     }
     if (how == connection_end::reset || how == connection_end::end_then_reset)
     {
+        std::this_thread::sleep_for(this->response.reset_delay);
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     socket.close(ignored);
--- a/standin/raw_server.hpp
+++ b/standin/raw_server.hpp
@@ -32,7 +32,7 @@
     /// since the buffers of both sides are full.
     bool waits_for_full_buffers = false;
     connection_end end = connection_end::none;
-    /// Time between the end of the own direction and the reset.
+    /// Time before a reset.
     std::chrono::milliseconds reset_delay{0};
     /// Bytes that are written at once, each in a segment of its own; 0: all.
     std::size_t segment_bytes = 0;
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -41,14 +41,18 @@
 class uploading_caller : public recording_caller
 {
 public:
-    uploading_caller(std::size_t bytes, milliseconds time_per_write)
-        : upload(bytes, 'u'), write_time(time_per_write)
+    uploading_caller(std::size_t bytes,
+                     milliseconds time_per_read,
+                     milliseconds time_per_write)
+        : upload(bytes, 'u'), read_time(time_per_read),
+          write_time(time_per_write)
     {
     }
 
     asio::awaitable<net::body_part> read_body(std::uint64_t position,
                                               const bool& /*stopped*/) override
     {
+        co_await pause(this->read_time);
         const std::string_view rest =
             std::string_view(this->upload).substr(position);
         const std::string_view data = rest.substr(0, part_bytes);
@@ -58,9 +62,7 @@
 
     asio::awaitable<bool> write_part(std::string_view part, bool last) override
     {
-        const auto executor = co_await asio::this_coro::executor;
-        asio::steady_timer timer(executor, this->write_time);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await pause(this->write_time);
         const bool written =
             co_await this->recording_caller::write_part(part, last);
         co_return written;
@@ -75,8 +77,16 @@
 private:
     static constexpr std::size_t part_bytes = 16384;
 
+    static asio::awaitable<void> pause(milliseconds time)
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::steady_timer timer(executor, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
     std::string upload;
-    milliseconds write_time;
+    milliseconds read_time;  ///< for each part of the upload
+    milliseconds write_time; ///< for each part of the answer
     std::size_t bytes_read = 0;
 };
 
@@ -110,14 +120,16 @@
                               this->names);
         this->step.server.port = server.port();
         this->step.deadline = core::boot_clock::now() + seconds(20);
-        this->caller = std::make_shared<uploading_caller>(this->upload_size,
-                                                          this->write_time);
+        this->caller = std::make_shared<uploading_caller>(
+            this->upload_size, this->read_time, this->write_time);
         const running_attempt attempt(io, servers, this->step, this->request,
                                       this->caller);
         while (!attempt.result && io.run_one() > 0)
         {
         }
         EXPECT_EQ(server.request_ids(), std::vector{this->request.id});
+        // An upload is too long to be sent before the connection ends.
+        EXPECT_TRUE(this->upload_size == 0 || this->caller->has_unsent_part());
         this->damaged = servers.counters().answers_damaged;
         return attempt.result.value_or(core::attempt_result{});
     }
@@ -147,6 +159,7 @@
     core::step_send step;
     net::checked_request request;
     std::size_t upload_size = 0;
+    milliseconds read_time{0};
     milliseconds write_time{0};
     std::shared_ptr<uploading_caller> caller;
     std::uint64_t damaged = 0; ///< answers that the instance found damaged
@@ -192,11 +205,6 @@
         this->request.content_length = upload_bytes;
     }
 
-    ~an_upload_that_waits() override
-    {
-        EXPECT_TRUE(this->caller->has_unsent_part());
-    }
-
     /// Plays each beginning of an answer, after each part of the upload.
     void expect_no_answer_from(connection_end end)
     {
@@ -313,9 +321,11 @@
         for (const std::string& text : texts)
         {
             SCOPED_TRACE(text);
-            const auto received = fetch({text, 0, false, end});
+            // A reset discards bytes that were not delivered yet.
+            const raw_response response{text, 0, false, end, milliseconds(5)};
+            const auto received = fetch(response);
             EXPECT_FALSE(received && received->status / 100 == 2);
-            EXPECT_FALSE(fetch_status({text, 0, false, end}));
+            EXPECT_FALSE(fetch_status(response));
         }
     }
 
@@ -512,6 +522,17 @@
                               connection_end::close);
 }
 
+// Guards against the same when no write waits, but the next one finds the reset
+// before the read does.
+TEST_F(an_upload_of_a_slow_caller, gets_no_answer_if_a_later_write_fails)
+{
+    this->read_time = slow_write / 5;
+    raw_response response{this->texts().part(framing::until_close, 8000)};
+    response.end = connection_end::reset;
+    response.reset_delay = this->read_time / 2;
+    this->expect_no_answer(response);
+}
+
 // Guards against the loss of an answer that ended in order: the write that
 // waits finds a broken pipe before the read sees the end.
 TEST_F(an_upload_of_a_slow_caller, gets_the_answer_that_ended_before_the_reset)
