Send the request of two shutdown tests again after a 429

Cause: the polls for readiness before it may use up the account's rate, so entry-1 answered 429 to the one request of the test and it never reached a server.

Change: a request that was refused with 429 is sent again, on a connection of its own, until a server has it.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -327,22 +327,36 @@
     }
 
     /// Sends a request to entry-1 that its server answers after `delay`, and
-    /// waits until it runs there.
+    /// waits until it runs there. Sends it again when it is refused because the
+    /// requests before it have used up the account's rate.
     std::future<response> start_running_request(std::chrono::milliseconds delay)
     {
         const std::string target =
             fmt::format("/reports/1?delay_ms={}", delay.count());
-        auto running =
-            std::async(std::launch::async,
-                       [this, target]
-                       {
-                           return send_request(this->caller_port("entry-1"),
-                                               make_get(target));
-                       });
+        const auto start = [this, target]
+        {
+            return std::async(std::launch::async,
+                              [this, target]
+                              {
+                                  return send_request(
+                                      this->caller_port("entry-1"),
+                                      make_get(target));
+                              });
+        };
+        std::future<response> running = start();
         EXPECT_TRUE(eventually(
             [&]
             {
-                return this->has_reached_a_server(target);
+                if (this->has_reached_a_server(target))
+                {
+                    return true;
+                }
+                if (running.wait_for(0s) == std::future_status::ready)
+                {
+                    EXPECT_EQ(running.get().status, 429U);
+                    running = start();
+                }
+                return false;
             }));
         return running;
     }
@@ -606,16 +620,33 @@
     const std::string target = "/reports/1?delay_ms=8000";
     asio::io_context caller_context;
     asio::ip::tcp::socket caller(caller_context);
-    caller.connect(
-        {asio::ip::make_address("127.0.0.1"), this->caller_port("entry-1")});
-    asio::write(caller, asio::buffer(make_get(target)));
+    const auto send = [&]
+    {
+        caller = asio::ip::tcp::socket(caller_context);
+        caller.connect({asio::ip::make_address("127.0.0.1"),
+                        this->caller_port("entry-1")});
+        asio::write(caller, asio::buffer(make_get(target)));
+    };
+    send();
+    boost::beast::flat_buffer buffer;
     ASSERT_TRUE(eventually(
         [&]
         {
-            return this->has_reached_a_server(target);
+            if (this->has_reached_a_server(target))
+            {
+                return true;
+            }
+            // The requests before it may have used up the account's rate.
+            if (caller.available() > 0)
+            {
+                http::response<http::string_body> refused;
+                http::read(caller, buffer, refused);
+                EXPECT_EQ(refused.result_int(), 429U);
+                send();
+            }
+            return false;
         }));
     this->instances.at("entry-1")->send(SIGTERM);
-    boost::beast::flat_buffer buffer;
     http::response<http::string_body> answer;
     http::read(caller, buffer, answer);
     EXPECT_EQ(answer.result_int(), 504U);
