--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -7,6 +7,7 @@
 #include <medlarbarrow/net/peers.hpp>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
+#include <standin/relay.hpp>
 #include <unistd.h>
 
 using namespace medlarbarrow;
@@ -165,6 +166,52 @@
     std::unique_ptr<instance> second;
 };
 
+/// Given, besides, that the first reaches the second over connections that a
+/// test can reset.
+class two_instances_with_a_relay : public two_listed_instances
+{
+protected:
+    void SetUp() override
+    {
+        two_listed_instances::SetUp();
+        auto created =
+            standin::relay::create(this->context, {"127.0.0.1", 0},
+                                   {"127.0.0.1", this->second->links->port()});
+        ASSERT_TRUE(created);
+        this->between = std::move(*created);
+        core::instance_list seen =
+            list({this->first.get(), this->second.get()});
+        seen.version = 2;
+        seen.instances.at(1).peer_port = this->between->port();
+        this->first->links->set_instances(seen);
+    }
+
+    /// Sends a message, and again while there is no link, and resets the
+    /// connection when that many bytes have passed.
+    void send_and_reset(const core::document_part& message, std::uint64_t bytes)
+    {
+        const std::uint64_t end =
+            this->between->counts().bytes_to_target + bytes;
+        const auto give_up = std::chrono::steady_clock::now() + wait_timeout;
+        this->first->links->send(to("second", message));
+        while (this->between->counts().bytes_to_target < end &&
+               std::chrono::steady_clock::now() < give_up)
+        {
+            this->context.restart();
+            this->context.run_one_for(std::chrono::milliseconds(20));
+            if (this->first->links->counters().links_open == 0)
+            {
+                this->first->links->send(to("second", message));
+            }
+        }
+        this->between->reset_connections();
+        this->context.restart();
+        this->context.run_for(std::chrono::milliseconds(20));
+    }
+
+    std::unique_ptr<standin::relay> between;
+};
+
 } // namespace
 
 // Guards against messages that are lost, reordered or sent over two links in a
@@ -421,6 +468,36 @@
         }));
 }
 
+// Guards against a message that breaks off and is taken for a whole one: the
+// connection is reset while the rest of it waits to be written.
+TEST_F(two_instances_with_a_relay, deliver_no_message_that_broke_off)
+{
+    constexpr std::uint64_t cut_messages = 5;
+    constexpr std::uint64_t whole_version = cut_messages + 1;
+    const std::string text(1'000'000, 'x');
+    for (std::uint64_t number = 1; number <= cut_messages; ++number)
+    {
+        this->send_and_reset({number, 0, 1, text}, 100'000 * number);
+    }
+    ASSERT_GE(this->between->counts().connections, cut_messages);
+    ASSERT_TRUE(this->wait_for(
+        [this]
+        {
+            return !this->second->inbox.empty();
+        },
+        [this, &text]
+        {
+            this->first->links->send(
+                to("second", core::document_part{whole_version, 0, 1, text}));
+        }));
+    for (const auto& [from, body] : this->second->inbox)
+    {
+        const auto& part = std::get<core::document_part>(body);
+        EXPECT_EQ(part.version, whole_version);
+        EXPECT_TRUE(part.text == text);
+    }
+}
+
 // Guards against links that stay open to instances that have left the list.
 TEST_F(two_listed_instances, links_to_an_instance_that_left_are_closed)
 {
