--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/published.hpp>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace medlarbarrow::net
@@ -10,8 +9,6 @@
 namespace
 {
 
-using nlohmann::json;
-
 /// Removals that are kept for instances that lag behind. An instance that lags
 /// further gets a complete listing.
 constexpr std::size_t max_removals = 256;
@@ -187,7 +184,9 @@
     return true;
 }
 
-void published::apply_listing(const std::vector<published_item>& listing,
+// Makes the items those of a list of the revision. Newer ones stay: they may
+// have come from another instance. True if an item changed.
+bool published::replace_items(const std::vector<published_item>& listed,
                               std::uint64_t revision,
                               core::removal_kind missing,
                               core::time_point now)
@@ -196,7 +195,7 @@
     bool has_changes = false;
     // One line instead of one for each server: all instances list all servers.
     this->in_first_listing = this->current_revision == 0;
-    for (const published_item& item : listing)
+    for (const published_item& item : listed)
     {
         listed_keys.insert(item.key);
         has_changes |= this->store(item, now);
@@ -211,7 +210,6 @@
     std::vector<std::string> missing_keys;
     for (const auto& [key, stored] : this->items)
     {
-        // Items that are newer than the listing may have come from a peer.
         if (!listed_keys.contains(key) && stored.revision <= revision)
         {
             missing_keys.push_back(key);
@@ -226,15 +224,21 @@
         this->removals_since = revision;
     }
     this->raise_revision(revision, now);
-    if (has_changes)
+    return has_changes;
+}
+
+void published::apply_listing(const source_listing& listing,
+                              core::time_point now)
+{
+    if (this->replace_items(listing.items, listing.revision, listing.missing,
+                            now))
     {
         this->notify_change();
     }
 }
 
-void published::apply_changes(const std::vector<published_item>& changes,
-                              std::uint64_t revision,
-                              core::time_point now)
+bool published::apply_each(const std::vector<published_item>& changes,
+                           core::time_point now)
 {
     bool has_changes = false;
     for (const published_item& item : changes)
@@ -243,6 +247,14 @@
                                                    item.removal, now)
                                     : this->store(item, now);
     }
+    return has_changes;
+}
+
+void published::apply_changes(const std::vector<published_item>& changes,
+                              std::uint64_t revision,
+                              core::time_point now)
+{
+    const bool has_changes = this->apply_each(changes, now);
     this->raise_revision(revision, now);
     if (has_changes)
     {
@@ -252,84 +264,56 @@
 
 std::string published::text_since(std::uint64_t revision) const
 {
-    const bool complete = revision == 0 || revision < this->removals_since;
-    json changes = json::array();
+    published_text text;
+    text.revision = this->current_revision;
+    text.complete = revision == 0 || revision < this->removals_since;
     for (const auto& [key, stored] : this->items)
     {
-        if (complete || stored.revision > revision)
+        if (text.complete || stored.revision > revision)
         {
-            changes.push_back(
-                json::array({key, stored.revision, stored.value}));
+            text.items.push_back({key, stored.value, stored.revision});
         }
     }
-    if (!complete)
+    if (!text.complete)
     {
         for (const removed_item& item : this->removals)
         {
             if (item.revision > revision)
             {
-                const bool lapsed = item.removal == core::removal_kind::lapsed;
-                changes.push_back(
-                    json::array({item.key, item.revision, lapsed}));
+                text.items.push_back(
+                    {item.key, "", item.revision, true, item.removal});
             }
         }
     }
-    const json text{{"at", this->current_revision},
-                    {"complete", complete},
-                    {"changes", changes}};
-    return text.dump(-1, ' ', false, json::error_handler_t::replace);
+    return format_published_text(text);
 }
 
 std::error_code published::apply_text(std::string_view text,
                                       core::time_point now)
 {
-    std::vector<published_item> changes;
-    std::uint64_t revision = 0;
-    bool complete = false;
-    // nlohmann::json reports wrong types and missing members by exceptions.
-    try
-    {
-        const json parsed = json::parse(text);
-        revision = parsed.at("at").get<std::uint64_t>();
-        complete = parsed.at("complete").get<bool>();
-        for (const json& item : parsed.at("changes"))
-        {
-            published_item change;
-            change.key = item.at(0).get<std::string>();
-            change.revision = item.at(1).get<std::uint64_t>();
-            // The third element is the value; for a removed item, it is true
-            // if the item may only have lapsed.
-            const json& value_or_lapsed = item.at(2);
-            change.removed = value_or_lapsed.is_boolean();
-            if (change.removed)
-            {
-                change.removal = value_or_lapsed.get<bool>()
-                                     ? core::removal_kind::lapsed
-                                     : core::removal_kind::certain;
-            }
-            else
-            {
-                change.value = value_or_lapsed.get<std::string>();
-            }
-            changes.push_back(std::move(change));
-        }
-    }
-    catch (const std::exception&)
+    const auto parsed = parse_published_text(text);
+    if (!parsed)
     {
-        return core::make_error_code(core::result_code::peer_message_invalid);
+        return parsed.error();
     }
-    if (revision <= this->current_revision)
+    if (parsed->revision <= this->current_revision)
     {
         return {};
     }
-    if (complete)
+    bool has_changes = false;
+    if (parsed->complete)
     {
-        this->apply_listing(changes, revision, core::removal_kind::certain,
-                            now);
+        has_changes = this->replace_items(parsed->items, parsed->revision,
+                                          core::removal_kind::certain, now);
     }
     else
     {
-        this->apply_changes(changes, revision, now);
+        has_changes = this->apply_each(parsed->items, now);
+        this->raise_revision(parsed->revision, now);
+    }
+    if (has_changes)
+    {
+        this->notify_change();
     }
     return {};
 }
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <map>
 #include <medlarbarrow/core/registry.hpp>
-#include <medlarbarrow/core/result_codes.hpp>
+#include <medlarbarrow/net/published_text.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,15 +17,16 @@
 namespace medlarbarrow::net
 {
 
-/// One item of the source, or its removal.
-struct published_item
+/// All items of the source, as its answers to one listing had them.
+struct source_listing
 {
-    std::string key;
-    std::string value;
+    std::vector<published_item> items;
+    /// Every change up to it is contained; single items may be newer.
     std::uint64_t revision = 0;
-    bool removed = false;
-    /// Kind of the removal, if `removed` is set.
-    core::removal_kind removal = core::removal_kind::certain;
+    /// Revision that this instance had when it asked for the listing.
+    std::uint64_t known_before = 0;
+    /// Kind of the removal of items that the listing lacks.
+    core::removal_kind missing = core::removal_kind::certain;
 };
 
 /// An item that is neither a document nor a server.
@@ -78,12 +79,8 @@
 public:
     published(item_reader read, std::function<void()> on_change);
 
-    /// Applies a complete listing of revision `listing_revision`. Items that
-    /// it lacks are removed, with the kind `missing`.
-    void apply_listing(const std::vector<published_item>& items,
-                       std::uint64_t listing_revision,
-                       core::removal_kind missing,
-                       core::time_point now);
+    /// Applies a listing of the source. Items that it lacks are removed.
+    void apply_listing(const source_listing& listing, core::time_point now);
 
     /// Applies changes up to revision `last_revision`.
     void apply_changes(const std::vector<published_item>& items,
@@ -148,6 +145,12 @@
         core::removal_kind removal = core::removal_kind::certain;
     };
 
+    bool replace_items(const std::vector<published_item>& listed,
+                       std::uint64_t revision,
+                       core::removal_kind missing,
+                       core::time_point now);
+    bool apply_each(const std::vector<published_item>& changes,
+                    core::time_point now);
     void raise_revision(std::uint64_t revision, core::time_point now);
     bool is_removed(const published_item& item) const;
     bool store(const published_item& item, core::time_point now);
--- /dev/null
+++ b/medlarbarrow/net/published_text.hpp
@@ -0,0 +1,38 @@
+/// The text in which instances pass published items on to each other.
+#pragma once
+
+#include <cstdint>
+#include <medlarbarrow/core/registry.hpp>
+#include <medlarbarrow/core/result_codes.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarbarrow::net
+{
+
+/// One item of the source, or its removal.
+struct published_item
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    /// Kind of the removal, if `removed` is set.
+    core::removal_kind removal = core::removal_kind::certain;
+};
+
+/// What an instance passes on: all items, or the changes after a revision.
+struct published_text
+{
+    std::uint64_t revision = 0; ///< every change up to it is contained
+    bool complete = false;      ///< `items` are all items, without removals
+    std::vector<published_item> items;
+};
+
+std::string format_published_text(const published_text& text);
+
+/// Error: peer_message_invalid.
+core::result<published_text> parse_published_text(std::string_view text);
+
+} // namespace medlarbarrow::net
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -239,6 +239,14 @@
         return {key, "", revision, true};
     }
 
+    /// Applies a listing that the instance asked for before it had anything.
+    static void list(net::published& instance,
+                     const std::vector<net::published_item>& items,
+                     std::uint64_t revision)
+    {
+        instance.apply_listing({items, revision}, start);
+    }
+
     net::published current{platform::read_item, [] {}};
     net::published lagging{platform::read_item, [] {}};
 };
@@ -360,9 +368,10 @@
 // its announcement, and against the removal of other servers with it.
 TEST_F(published_items, drop_a_server_whose_entry_cannot_be_read)
 {
-    this->current.apply_listing({this->listed_item("servers/a", server(), 2),
-                                 this->listed_item("servers/b", server(), 3)},
-                                3, core::removal_kind::certain, start);
+    this->list(this->current,
+               {this->listed_item("servers/a", server(), 2),
+                this->listed_item("servers/b", server(), 3)},
+               3);
     this->current.apply_changes({this->listed_item("servers/a", "spoiled", 4)},
                                 4, start);
     EXPECT_EQ(this->current.servers().find("a"), nullptr);
@@ -386,10 +395,11 @@
 // of the other.
 TEST_F(published_items, reach_another_instance_unchanged)
 {
-    this->current.apply_listing({this->listed_item("op/config", config(3), 2),
-                                 this->listed_item("servers/a", server(), 3),
-                                 this->listed_item("servers/b", server(), 4)},
-                                4, core::removal_kind::certain, start);
+    this->list(this->current,
+               {this->listed_item("op/config", config(3), 2),
+                this->listed_item("servers/a", server(), 3),
+                this->listed_item("servers/b", server(), 4)},
+               4);
     EXPECT_FALSE(this->lagging.apply_text(this->current.text_since(0), start));
     EXPECT_EQ(this->lagging.revision(), 4U);
     EXPECT_EQ(this->lagging.document()->version, 3U);
@@ -405,8 +415,7 @@
 // as a certain one: the server then gets no grace period.
 TEST_F(published_items, pass_on_that_a_server_may_only_have_lapsed)
 {
-    this->current.apply_listing({this->listed_item("servers/a", server(), 2)},
-                                2, core::removal_kind::certain, start);
+    this->list(this->current, {this->listed_item("servers/a", server(), 2)}, 2);
     this->lagging.apply_text(this->current.text_since(0), start);
     net::published_item lapsed = this->removed_item("servers/a", 3);
     lapsed.removal = core::removal_kind::lapsed;
@@ -422,7 +431,7 @@
 {
     this->current.apply_changes({this->listed_item("servers/a", server(), 9)},
                                 9, start);
-    this->current.apply_listing({}, 5, core::removal_kind::certain, start);
+    this->list(this->current, {}, 5);
     EXPECT_NE(this->current.servers().find("a"), nullptr);
 }
 
@@ -434,8 +443,7 @@
     this->current.apply_changes({listed}, 95, start);
     this->current.apply_changes({this->removed_item("servers/i-7", 100)}, 100,
                                 start);
-    this->current.apply_listing({listed}, 98, core::removal_kind::certain,
-                                start);
+    this->list(this->current, {listed}, 98);
     EXPECT_EQ(this->current.servers().find("i-7"), nullptr);
     this->current.apply_changes(
         {this->listed_item("servers/i-7", server(), 101)}, 101, start);
@@ -447,8 +455,8 @@
 RC_GTEST_PROP(a_text_from_a_peer, changes_nothing_when_it_is_damaged, ())
 {
     net::published published(platform::read_item, [] {});
-    published.apply_listing({{"servers/a", server().dump(), 2, false, {}}}, 2,
-                            core::removal_kind::certain, start);
+    published.apply_listing({{{"servers/a", server().dump(), 2, false, {}}}, 2},
+                            start);
     std::string text = published.text_since(0);
     const auto cut_length = *rc::gen::inRange<std::size_t>(0, text.size());
     text.resize(cut_length);
