Ask again for a listing that a peer's complete list has overtaken

Cause: the instance's own listing came late, after the complete list of a peer, which names no removals. It took each listed item that it did not hold and knew no removal of, and the watch began after the removal.

Change: `published` knows from which revision on, and outside of which gap, every removal is known to it. A listing from before is refused and asked for again, also by an instance that others read the store for. A listing below what was known before the call is no outdated one: the store has gone back, and it is applied as before.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -109,6 +109,13 @@
     }
 }
 
+// Whether items may have been removed after the revision without becoming known
+// here.
+bool published::may_lack_removal_after(std::uint64_t revision) const
+{
+    return revision < this->removals_since || this->gap.contains(revision);
+}
+
 // Whether the item has been removed after its revision, as far as removals are
 // kept.
 bool published::is_removed(const published_item& item) const
@@ -168,7 +175,8 @@
     this->removals.push_back({key, revision, removal});
     if (this->removals.size() > max_removals)
     {
-        this->removals_since = this->removals.front().revision;
+        this->removals_since =
+            std::max(this->removals_since, this->removals.front().revision);
         this->removals.erase(this->removals.begin());
     }
     const auto server = this->server_names.find(key);
@@ -184,6 +192,17 @@
     return true;
 }
 
+// What was written and removed between the revisions is not known.
+void published::add_gap(std::uint64_t from, std::uint64_t to)
+{
+    if (from + 1 >= to)
+    {
+        return;
+    }
+    this->removals_since = std::max(this->removals_since, this->gap.to);
+    this->gap = {from, to};
+}
+
 // Makes the items those of a list of the revision. Newer ones stay: they may
 // have come from another instance. True if an item changed.
 bool published::replace_items(const std::vector<published_item>& listed,
@@ -219,22 +238,33 @@
     {
         has_changes |= this->remove(key, revision, missing, now);
     }
-    if (this->current_revision == 0)
-    {
-        this->removals_since = revision;
-    }
+    this->add_gap(this->current_revision, revision);
     this->raise_revision(revision, now);
     return has_changes;
 }
 
-void published::apply_listing(const source_listing& listing,
+bool published::apply_listing(const source_listing& listing,
                               core::time_point now)
 {
+    // The source answers with its state at the time of the call or a later one.
+    // If it had less than was known before the call, it has gone back to an
+    // older state, and what it lists now is not outdated.
+    const bool has_gone_back = listing.revision < listing.known_before;
+    if (!has_gone_back && this->may_lack_removal_after(listing.revision))
+    {
+        ++this->counts.listings_outdated;
+        log::write(log::level::info, "listing_outdated",
+                   {log::kv("revision", listing.revision),
+                    log::kv("known_before", listing.known_before),
+                    log::kv("known", this->current_revision)});
+        return false;
+    }
     if (this->replace_items(listing.items, listing.revision, listing.missing,
                             now))
     {
         this->notify_change();
     }
+    return true;
 }
 
 bool published::apply_each(const std::vector<published_item>& changes,
@@ -266,7 +296,8 @@
 {
     published_text text;
     text.revision = this->current_revision;
-    text.complete = revision == 0 || revision < this->removals_since;
+    text.complete = revision == 0 || revision < this->removals_since ||
+                    (this->gap.from == 0 && this->gap.contains(revision));
     for (const auto& [key, stored] : this->items)
     {
         if (text.complete || stored.revision > revision)
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -70,6 +70,7 @@
 {
     std::uint64_t items_unreadable = 0;
     std::uint64_t document_problems = 0;
+    std::uint64_t listings_outdated = 0;
 };
 
 /// Applies listings and changes from the source and from other instances, and
@@ -79,8 +80,13 @@
 public:
     published(item_reader read, std::function<void()> on_change);
 
-    /// Applies a listing of the source. Items that it lacks are removed.
-    void apply_listing(const source_listing& listing, core::time_point now);
+    /// Applies a listing of the source; items that it lacks are removed.
+    /// Returns false, and changes nothing, if it is outdated: other instances
+    /// have passed on newer items meanwhile, but not every removal before them,
+    /// so an item of the listing that is not held may have been removed. Such a
+    /// listing has to be asked for again.
+    [[nodiscard]] bool apply_listing(const source_listing& listing,
+                                     core::time_point now);
 
     /// Applies changes up to revision `last_revision`.
     void apply_changes(const std::vector<published_item>& items,
@@ -145,6 +151,21 @@
         core::removal_kind removal = core::removal_kind::certain;
     };
 
+    /// Revisions, both ends excluded, in which items may have been written and
+    /// removed without becoming known.
+    struct revision_gap
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+
+        bool contains(std::uint64_t revision) const noexcept
+        {
+            return this->from < revision && revision < this->to;
+        }
+    };
+
+    void add_gap(std::uint64_t from, std::uint64_t to);
+    bool may_lack_removal_after(std::uint64_t revision) const;
     bool replace_items(const std::vector<published_item>& listed,
                        std::uint64_t revision,
                        core::removal_kind missing,
@@ -166,7 +187,10 @@
     std::map<std::string, stored_item> items;
     std::map<std::string, std::string> server_names; ///< by item key
     std::vector<removed_item> removals;              ///< oldest first
-    std::uint64_t removals_since = 0; ///< later removals are kept
+    /// Later removals are kept, except those of items from the gap.
+    std::uint64_t removals_since = 0;
+    /// The last one; removals_since is not below the end of the one before.
+    revision_gap gap;
     std::uint64_t current_revision = 0;
     core::time_point raised_at{};
     std::shared_ptr<const core::document> current_document;
--- a/standin/store.cpp
+++ b/standin/store.cpp
@@ -114,6 +114,7 @@
     asio::awaitable<http::response<http::string_body>>
     respond(std::string target);
     json list(const std::string& target);
+    std::chrono::milliseconds lateness_of(const std::string& target) const;
     bool has_changes(const std::string& prefix, std::uint64_t after);
     json changes_after(const std::string& prefix, std::uint64_t after);
 
@@ -155,6 +156,15 @@
         {"items", page}, {"hasMore", has_more}, {"currentRev", this->revision}};
 }
 
+std::chrono::milliseconds
+store::state::lateness_of(const std::string& target) const
+{
+    const std::lock_guard guard(this->mutex);
+    const bool late =
+        query_parameter(target, "prefix") == this->faults.late_prefix;
+    return late ? this->faults.lateness : std::chrono::milliseconds(0);
+}
+
 bool store::state::has_changes(const std::string& prefix, std::uint64_t after)
 {
     const std::lock_guard guard(this->mutex);
@@ -197,6 +207,8 @@
     else if (target.starts_with("/v1/kv-range"))
     {
         response.body() = this->list(target).dump();
+        asio::steady_timer timer(this->io, this->lateness_of(target));
+        co_await timer.async_wait(asio::use_awaitable);
     }
     else if (target.starts_with("/v1/kv-watch"))
     {
--- a/standin/store.hpp
+++ b/standin/store.hpp
@@ -22,6 +22,10 @@
     bool twice = false;       ///< writes each answer twice
     bool again_later = false; ///< writes each answer again before the next one
     bool unframed = false;    ///< answers end with their connection
+    /// Answers to listings of this prefix are sent so much later. They say
+    /// what the store had when it was asked.
+    std::string late_prefix;
+    std::chrono::milliseconds lateness{0};
     /// Closes the connection after so many bytes of an answer.
     std::optional<std::size_t> cut;
 };
--- /dev/null
+++ b/tests/published_history_test.cpp
@@ -0,0 +1,288 @@
+/// Instances that follow a source whose answers come late, twice or not at all,
+/// and that pass on to each other what they have.
+#include <deque>
+#include <gtest/gtest.h>
+#include <medlarbarrow/net/published.hpp>
+#include <platform/decode.hpp>
+#include <rapidcheck/gtest.h>
+
+using namespace medlarbarrow;
+using namespace std::chrono_literals;
+using net::published_item;
+
+namespace
+{
+
+constexpr core::time_point start{1000s};
+
+std::string server_text()
+{
+    return R"({"address":"10.0.0.9:8080","info":{"service":"orders",)"
+           R"("version":"v1","zone":"suva","slots":3},"status":{"state":)"
+           R"("ready","sequence":4,"warmupLeft":"0ms"},"born":17})";
+}
+
+/// A source with one revision for each change.
+class source_model
+{
+public:
+    void put(const std::string& key)
+    {
+        this->write({key, server_text(), this->revision + 1});
+    }
+
+    void remove(const std::string& key)
+    {
+        if (this->items.contains(key))
+        {
+            this->write({key, "", this->revision + 1, true});
+        }
+    }
+
+    net::source_listing list(std::uint64_t known_before) const
+    {
+        net::source_listing listing;
+        for (const auto& [key, item] : this->items)
+        {
+            listing.items.push_back(item);
+        }
+        listing.revision = this->revision;
+        listing.known_before = known_before;
+        return listing;
+    }
+
+    std::vector<published_item> changes_after(std::uint64_t after) const
+    {
+        std::vector<published_item> changes;
+        std::copy_if(this->history.begin(), this->history.end(),
+                     std::back_inserter(changes),
+                     [after](const published_item& change)
+                     {
+                         return change.revision > after;
+                     });
+        return changes;
+    }
+
+    /// Whether the item of this key was removed, and not written again, up to
+    /// the revision.
+    bool is_removed_at(const std::string& key, std::uint64_t at) const
+    {
+        bool removed = false;
+        for (const published_item& change : this->history)
+        {
+            if (change.key == key && change.revision <= at)
+            {
+                removed = change.removed;
+            }
+        }
+        return removed;
+    }
+
+    std::map<std::string, published_item> items;
+    std::vector<published_item> history;
+    std::uint64_t revision = 10;
+
+private:
+    void write(const published_item& change)
+    {
+        ++this->revision;
+        this->history.push_back(change);
+        if (change.removed)
+        {
+            this->items.erase(change.key);
+        }
+        else
+        {
+            this->items[change.key] = change;
+        }
+    }
+};
+
+std::string key_of(int number)
+{
+    return "servers/i-" + std::to_string(number);
+}
+
+} // namespace
+
+/// Given a source and two instances that read it.
+class a_followed_source : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        for (int number = 0; number < 4; ++number)
+        {
+            this->source.put(key_of(number));
+        }
+    }
+
+    net::source_listing ask(const net::published& instance) const
+    {
+        return this->source.list(instance.revision());
+    }
+
+    void list(net::published& instance) const
+    {
+        ASSERT_TRUE(instance.apply_listing(this->ask(instance), start));
+    }
+
+    void watch(net::published& instance) const
+    {
+        instance.apply_changes(this->source.changes_after(instance.revision()),
+                               this->source.revision, start);
+    }
+
+    /// Passes on what the second one lacks.
+    static void pass_on(const net::published& from, net::published& to)
+    {
+        ASSERT_FALSE(to.apply_text(from.text_since(to.revision()), start));
+    }
+
+    static bool uses(const net::published& instance, int number)
+    {
+        return instance.servers().find("i-" + std::to_string(number)) !=
+               nullptr;
+    }
+
+    source_model source;
+    net::published first{platform::read_item, [] {}};
+    net::published second{platform::read_item, [] {}};
+};
+
+/// And the second instance starts, its listing comes late and a server leaves
+/// meanwhile.
+class a_listing_that_comes_late : public a_followed_source
+{
+protected:
+    void SetUp() override
+    {
+        a_followed_source::SetUp();
+        this->list(this->first);
+        this->late = this->ask(this->second);
+        this->source.remove(key_of(0));
+        this->watch(this->first);
+    }
+
+    net::source_listing late;
+};
+
+// Guards against a server that has left and is used again by an instance that
+// has started: another instance's complete list, which names no removals, comes
+// before the instance's own, older listing.
+TEST_F(a_listing_that_comes_late, brings_no_server_back_that_a_peer_lacks)
+{
+    this->pass_on(this->first, this->second);
+    EXPECT_FALSE(this->second.apply_listing(this->late, start));
+    EXPECT_FALSE(this->uses(this->second, 0));
+    EXPECT_TRUE(this->uses(this->second, 1));
+    EXPECT_EQ(this->second.counters().listings_outdated, 1U);
+    // It is asked for again.
+    this->list(this->second);
+    EXPECT_FALSE(this->uses(this->second, 0));
+    // The server starts again.
+    this->source.put(key_of(0));
+    this->watch(this->second);
+    EXPECT_TRUE(this->uses(this->second, 0));
+}
+
+// Guards against a sound server that is not used because the instance that
+// passed its list on lacks it: the source, asked again, still has it.
+TEST_F(a_listing_that_comes_late, is_asked_for_again_if_a_peer_lacks_a_server)
+{
+    net::published lacking{platform::read_item, [] {}};
+    net::source_listing part = this->source.list(0);
+    std::erase_if(part.items,
+                  [](const published_item& item)
+                  {
+                      return item.key == key_of(1);
+                  });
+    ASSERT_TRUE(lacking.apply_listing(part, start));
+    this->pass_on(lacking, this->second);
+    EXPECT_FALSE(this->uses(this->second, 1));
+    EXPECT_FALSE(this->second.apply_listing(this->late, start));
+    this->list(this->second);
+    EXPECT_TRUE(this->uses(this->second, 1));
+}
+
+// Guards against a listing that is refused for good: after the source has come
+// back from an older copy, all its listings have lower revisions than what the
+// instance knew when it asked.
+TEST_F(a_listing_that_comes_late, counts_when_the_source_has_gone_back)
+{
+    this->pass_on(this->first, this->second);
+    this->source.revision = 5;
+    this->source.put(key_of(7));
+    this->list(this->second);
+    EXPECT_TRUE(this->uses(this->second, 7));
+}
+
+// Guards against a listing that each instance asks for again without end while
+// changes with their removals are passed on.
+TEST_F(a_listing_that_comes_late, counts_when_only_changes_have_come_meanwhile)
+{
+    this->pass_on(this->first, this->second);
+    const net::source_listing next = this->ask(this->second);
+    this->source.put(key_of(8));
+    this->source.remove(key_of(1));
+    this->watch(this->first);
+    this->pass_on(this->first, this->second);
+    EXPECT_TRUE(this->second.apply_listing(next, start));
+    EXPECT_FALSE(this->uses(this->second, 1));
+    EXPECT_TRUE(this->uses(this->second, 8));
+}
+
+// Guards against a withdrawn key or route that is in force again: the late
+// listing has an older document than the one that was passed on.
+TEST_F(a_listing_that_comes_late, brings_no_older_document_back)
+{
+    const auto document_text = [](const std::string& version)
+    {
+        return R"({"version":")" + version +
+               R"(","routes":{"columns":["name"],"rows":[]},"services":)"
+               R"({"columns":["name"],"rows":[]},"limits":{"maxHeaderBytes":)"
+               R"(2048,"maxBodyBytes":1000,"headerTimeout":"3s",)"
+               R"("idleTimeout":"15s"}})";
+    };
+    const auto listing_of =
+        [&](const std::string& version, std::uint64_t revision)
+    {
+        net::source_listing listing;
+        listing.revision = revision;
+        listing.items = {{"op/config", document_text(version), revision}};
+        return listing;
+    };
+    ASSERT_TRUE(this->first.apply_listing(listing_of("r2", 30), start));
+    this->pass_on(this->first, this->second);
+    ASSERT_NE(this->second.document(), nullptr);
+    EXPECT_FALSE(this->second.apply_listing(listing_of("r1", 20), start));
+    EXPECT_EQ(this->second.document()->version, 2U);
+    // Nor does one that is listed anew.
+    EXPECT_TRUE(this->second.apply_listing(listing_of("r1", 40), start));
+    EXPECT_EQ(this->second.document()->version, 2U);
+}
+
+// Guards against servers that have left and are used again because more have
+// left at once than removals are kept.
+TEST_F(a_followed_source, refuses_a_late_listing_after_many_removals)
+{
+    constexpr int many = 700;
+    for (int number = 0; number < many; ++number)
+    {
+        this->source.put(key_of(number));
+    }
+    this->list(this->first);
+    this->list(this->second);
+    const net::source_listing late = this->ask(this->second);
+    for (int number = 1; number < many; ++number)
+    {
+        this->source.remove(key_of(number));
+    }
+    this->watch(this->first);
+    this->pass_on(this->first, this->second);
+    EXPECT_EQ(this->second.servers().all().size(), 1U);
+    EXPECT_FALSE(this->second.apply_listing(late, start));
+    EXPECT_EQ(this->second.servers().all().size(), 1U);
+    this->list(this->second);
+    EXPECT_EQ(this->second.servers().all().size(), 1U);
+}
--- a/tests/published_test.cpp
+++ b/tests/published_test.cpp
@@ -244,7 +244,7 @@
                      const std::vector<net::published_item>& items,
                      std::uint64_t revision)
     {
-        instance.apply_listing({items, revision}, start);
+        EXPECT_TRUE(instance.apply_listing({items, revision}, start));
     }
 
     net::published current{platform::read_item, [] {}};
@@ -455,8 +455,8 @@
 RC_GTEST_PROP(a_text_from_a_peer, changes_nothing_when_it_is_damaged, ())
 {
     net::published published(platform::read_item, [] {});
-    published.apply_listing({{{"servers/a", server().dump(), 2, false, {}}}, 2},
-                            start);
+    RC_ASSERT(published.apply_listing(
+        {{{"servers/a", server().dump(), 2, false, {}}}, 2}, start));
     std::string text = published.text_since(0);
     const auto cut_length = *rc::gen::inRange<std::size_t>(0, text.size());
     text.resize(cut_length);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -511,3 +511,58 @@
         }
     }
 }
+
+// Guards against a server that has left and is used again, and without an end:
+// its listing was asked for before it left and comes after another instance's
+// list without it.
+TEST_F(a_reader_of_the_store, lists_again_when_its_listing_is_outdated)
+{
+    this->store.put("op/config", config_text);
+    this->store.put("servers/i-1", server_text("ready"));
+    this->store.put("servers/i-2", server_text("ready"));
+    standin::store_faults faults;
+    faults.late_prefix = "servers/";
+    faults.lateness = 300ms;
+    this->store.set_faults(faults);
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->store.counts().listings == 2;
+        }));
+    this->store.remove("servers/i-1");
+    net::published peer{platform::read_item, [] {}};
+    auto reader_of_peer = platform::store::create(
+        this->io, {"127.0.0.1", this->store.port()}, peer);
+    ASSERT_TRUE(reader_of_peer);
+    this->store.set_faults({});
+    (*reader_of_peer)->start();
+    ASSERT_TRUE(this->run_until(
+        [&peer]
+        {
+            return peer.revision() > 0;
+        }));
+    EXPECT_EQ(this->published.revision(), 0U);
+    ASSERT_FALSE(this->published.apply_text(peer.text_since(0),
+                                            core::boot_clock::now()));
+    // It lists again even if others read the store for it from now on.
+    this->reader->set_reading_enabled(false);
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->published.servers().find("i-1") != nullptr ||
+                   this->published.counters().listings_outdated == 1;
+        }));
+    EXPECT_EQ(this->published.servers().find("i-1"), nullptr);
+    const std::uint64_t listings = this->store.counts().listings;
+    EXPECT_TRUE(this->run_until(
+        [this, listings]
+        {
+            return this->store.counts().listings >= listings + 2;
+        }));
+    this->io.run_for(200ms);
+    this->io.restart();
+    EXPECT_EQ(this->published.servers().find("i-1"), nullptr);
+    EXPECT_EQ(this->usable_servers(), 1U);
+    EXPECT_EQ(this->published.counters().listings_outdated, 1U);
+}
