Take no unknown server from changes that a complete list has overtaken

Cause: an answer to a watch that comes late, or a second time, after a peer's complete list may announce a server that the list no longer has. The instance held no record of its removal and used it again, without an end. The same with more removals than are kept.

Change: changes up to a revision after which removals may be unknown bring no item that is not held; they are counted.

--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -467,6 +467,8 @@
         this->published_data.counters();
     add_counter("published_items_unreadable_total",
                 published_counts.items_unreadable);
+    add_counter("published_items_outdated_total",
+                published_counts.items_outdated);
     add_counter("published_listings_outdated_total",
                 published_counts.listings_outdated);
     add_counter("document_problems_total", published_counts.document_problems);
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -135,6 +135,7 @@
 {
     if (!this->items.contains(item.key) && this->is_removed(item))
     {
+        ++this->counts.items_outdated;
         return false;
     }
     stored_item& stored = this->items[item.key];
@@ -267,15 +268,27 @@
     return true;
 }
 
+// Applies changes. Outdated ones bring no item that is not held.
 bool published::apply_each(const std::vector<published_item>& changes,
+                           bool outdated,
                            core::time_point now)
 {
     bool has_changes = false;
     for (const published_item& item : changes)
     {
-        has_changes |= item.removed ? this->remove(item.key, item.revision,
-                                                   item.removal, now)
-                                    : this->store(item, now);
+        if (item.removed)
+        {
+            has_changes |=
+                this->remove(item.key, item.revision, item.removal, now);
+        }
+        else if (outdated && !this->items.contains(item.key))
+        {
+            ++this->counts.items_outdated;
+        }
+        else
+        {
+            has_changes |= this->store(item, now);
+        }
     }
     return has_changes;
 }
@@ -284,7 +297,10 @@
                               std::uint64_t revision,
                               core::time_point now)
 {
-    const bool has_changes = this->apply_each(changes, now);
+    // The answer may have been late, or may be a second one. What it tells of
+    // items that are not held may then be outdated.
+    const bool outdated = this->may_lack_removal_after(revision);
+    const bool has_changes = this->apply_each(changes, outdated, now);
     this->raise_revision(revision, now);
     if (has_changes)
     {
@@ -339,7 +355,7 @@
     }
     else
     {
-        has_changes = this->apply_each(parsed->items, now);
+        has_changes = this->apply_each(parsed->items, false, now);
         this->raise_revision(parsed->revision, now);
     }
     if (has_changes)
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -71,6 +71,7 @@
     std::uint64_t items_unreadable = 0;
     std::uint64_t document_problems = 0;
     std::uint64_t listings_outdated = 0;
+    std::uint64_t items_outdated = 0; ///< of late changes, or already removed
 };
 
 /// Applies listings and changes from the source and from other instances, and
@@ -88,7 +89,8 @@
     [[nodiscard]] bool apply_listing(const source_listing& listing,
                                      core::time_point now);
 
-    /// Applies changes up to revision `last_revision`.
+    /// Applies changes of the source up to revision `last_revision`. What is
+    /// known already, also from a later state, is skipped.
     void apply_changes(const std::vector<published_item>& items,
                        std::uint64_t last_revision,
                        core::time_point now);
@@ -171,6 +173,7 @@
                        core::removal_kind missing,
                        core::time_point now);
     bool apply_each(const std::vector<published_item>& changes,
+                    bool outdated,
                     core::time_point now);
     void raise_revision(std::uint64_t revision, core::time_point now);
     bool is_removed(const published_item& item) const;
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -262,9 +262,72 @@
     EXPECT_EQ(this->second.document()->version, 2U);
 }
 
+/// And the second instance gets a complete list while an answer to its watch,
+/// with a server that has left meanwhile, is on the way.
+class a_watch_answered_late : public a_followed_source
+{
+protected:
+    void SetUp() override
+    {
+        a_followed_source::SetUp();
+        this->list(this->second);
+        this->source.put(key_of(5));
+        this->late = this->source.changes_after(this->second.revision());
+        this->late_revision = this->source.revision;
+        this->source.remove(key_of(5));
+        this->list(this->first);
+        this->pass_on(this->first, this->second);
+    }
+
+    std::vector<published_item> late;
+    std::uint64_t late_revision = 0;
+};
+
+// Guards against a server that has left and is used again: the answer to a
+// watch comes late, or a second time, after a complete list without the server.
+// It may come so after a freeze or a cut.
+TEST_F(a_watch_answered_late, brings_no_server_back_that_has_left)
+{
+    for (int count = 0; count < 2; ++count)
+    {
+        this->second.apply_changes(this->late, this->late_revision, start);
+        EXPECT_FALSE(this->uses(this->second, 5));
+    }
+    EXPECT_EQ(this->second.revision(), this->source.revision);
+    // The server starts again.
+    this->source.put(key_of(5));
+    this->watch(this->second);
+    EXPECT_TRUE(this->uses(this->second, 5));
+}
+
+// Guards against a sound server that is not used because the instance that
+// passed its list on lacks it: the answer to the watch covers that list.
+TEST_F(a_watch_answered_late, brings_a_server_that_a_peer_lacks)
+{
+    net::published third{platform::read_item, [] {}};
+    this->list(third);
+    const std::uint64_t after = third.revision();
+    this->source.put(key_of(5));
+    net::source_listing part = this->source.list(0);
+    std::erase_if(part.items,
+                  [](const published_item& item)
+                  {
+                      return item.key == key_of(5);
+                  });
+    net::published lacking{platform::read_item, [] {}};
+    ASSERT_TRUE(lacking.apply_listing(part, start));
+    this->pass_on(lacking, third);
+    EXPECT_FALSE(this->uses(third, 5));
+    this->source.put(key_of(8));
+    third.apply_changes(this->source.changes_after(after),
+                        this->source.revision, start);
+    EXPECT_TRUE(this->uses(third, 5));
+}
+
 // Guards against servers that have left and are used again because more have
-// left at once than removals are kept.
-TEST_F(a_followed_source, refuses_a_late_listing_after_many_removals)
+// left at once than removals are kept: by a late listing, or by an answer to a
+// watch that comes again.
+TEST_F(a_followed_source, refuses_late_answers_after_many_removals)
 {
     constexpr int many = 700;
     for (int number = 0; number < many; ++number)
@@ -274,6 +337,7 @@
     this->list(this->first);
     this->list(this->second);
     const net::source_listing late = this->ask(this->second);
+    const std::vector<published_item> repeated = this->source.changes_after(10);
     for (int number = 1; number < many; ++number)
     {
         this->source.remove(key_of(number));
@@ -283,6 +347,11 @@
     EXPECT_EQ(this->second.servers().all().size(), 1U);
     EXPECT_FALSE(this->second.apply_listing(late, start));
     EXPECT_EQ(this->second.servers().all().size(), 1U);
+    for (net::published* instance : {&this->first, &this->second})
+    {
+        instance->apply_changes(repeated, late.revision, start);
+        EXPECT_EQ(instance->servers().all().size(), 1U);
+    }
     this->list(this->second);
     EXPECT_EQ(this->second.servers().all().size(), 1U);
 }
