Record the removal of a server that was never known here

Cause: a removal that came before its item was not recorded. A server that came and went while an instance listed the store was in the listing; the changes of a peer, which came first, had named only its removal. It was used without an end.

Change: removals are kept by key, whether the item was held or not. The revision from which on all are known never falls.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -120,12 +120,9 @@
 // kept.
 bool published::is_removed(const published_item& item) const
 {
-    return std::any_of(this->removals.begin(), this->removals.end(),
-                       [&item](const removed_item& removed)
-                       {
-                           return removed.key == item.key &&
-                                  removed.revision > item.revision;
-                       });
+    const auto found = this->removals.find(item.key);
+    return found != this->removals.end() &&
+           found->second.revision > item.revision;
 }
 
 // Stores and applies an item; true if its revision is new. An item of the
@@ -147,6 +144,7 @@
     }
     const bool same_revision = item.revision == stored.revision;
     stored = {item.value, item.revision};
+    this->removals.erase(item.key);
     this->apply_item(item, now);
     return !same_revision;
 }
@@ -160,34 +158,56 @@
     }
 }
 
-// Removes an item and records the removal for other instances. Returns false if
-// there is no such item or it is newer than the removal.
+// Keeps the newest removals. The oldest one is dropped first.
+void published::record_removal(const std::string& key, const removal& removed)
+{
+    removal& last = this->removals[key];
+    if (removed.revision >= last.revision)
+    {
+        last = removed;
+    }
+    if (this->removals.size() <= max_removals)
+    {
+        return;
+    }
+    const auto oldest = std::min_element(
+        this->removals.begin(), this->removals.end(),
+        [](const auto& left, const auto& right)
+        {
+            return left.second.revision < right.second.revision;
+        });
+    this->removals_since =
+        std::max(this->removals_since, oldest->second.revision);
+    this->removals.erase(oldest);
+}
+
+// Removes an item and records the removal: for other instances, and because an
+// older state that still has the item may come later. Returns false if there is
+// no such item or it is newer than the removal.
 bool published::remove(const std::string& key,
-                       std::uint64_t revision,
-                       core::removal_kind removal,
+                       const removal& removed,
                        core::time_point now)
 {
     const auto it = this->items.find(key);
-    if (it == this->items.end() || it->second.revision > revision)
+    if (it != this->items.end() && it->second.revision > removed.revision)
     {
         return false;
     }
-    this->items.erase(it);
-    this->removals.push_back({key, revision, removal});
-    if (this->removals.size() > max_removals)
+    this->record_removal(key, removed);
+    if (it == this->items.end())
     {
-        this->removals_since =
-            std::max(this->removals_since, this->removals.front().revision);
-        this->removals.erase(this->removals.begin());
+        return false;
     }
+    this->items.erase(it);
     const auto server = this->server_names.find(key);
     if (server != this->server_names.end())
     {
+        const bool lapsed = removed.kind == core::removal_kind::lapsed;
         log::write(log::level::info, "server_removed",
                    {log::kv("server", server->second),
-                    log::kv("lapsed", removal == core::removal_kind::lapsed),
-                    log::kv("revision", revision)});
-        this->registry.remove(server->second, removal, now);
+                    log::kv("lapsed", lapsed),
+                    log::kv("revision", removed.revision)});
+        this->registry.remove(server->second, removed.kind, now);
         this->server_names.erase(server);
     }
     return true;
@@ -237,7 +257,7 @@
     }
     for (const std::string& key : missing_keys)
     {
-        has_changes |= this->remove(key, revision, missing, now);
+        has_changes |= this->remove(key, {revision, missing}, now);
     }
     this->add_gap(this->current_revision, revision);
     this->raise_revision(revision, now);
@@ -279,7 +299,7 @@
         if (item.removed)
         {
             has_changes |=
-                this->remove(item.key, item.revision, item.removal, now);
+                this->remove(item.key, {item.revision, item.removal}, now);
         }
         else if (outdated && !this->items.contains(item.key))
         {
@@ -323,12 +343,12 @@
     }
     if (!text.complete)
     {
-        for (const removed_item& item : this->removals)
+        for (const auto& [key, removed] : this->removals)
         {
-            if (item.revision > revision)
+            if (removed.revision > revision)
             {
                 text.items.push_back(
-                    {item.key, "", item.revision, true, item.removal});
+                    {key, "", removed.revision, true, removed.kind});
             }
         }
     }
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -146,11 +146,11 @@
         std::uint64_t revision = 0;
     };
 
-    struct removed_item
+    /// Last removal of an item that is not held.
+    struct removal
     {
-        std::string key;
         std::uint64_t revision = 0;
-        core::removal_kind removal = core::removal_kind::certain;
+        core::removal_kind kind = core::removal_kind::certain;
     };
 
     /// Revisions, both ends excluded, in which items may have been written and
@@ -179,9 +179,9 @@
     bool is_removed(const published_item& item) const;
     bool store(const published_item& item, core::time_point now);
     bool remove(const std::string& key,
-                std::uint64_t revision,
-                core::removal_kind removal,
+                const removal& removed,
                 core::time_point now);
+    void record_removal(const std::string& key, const removal& removed);
     void apply_item(const published_item& item, core::time_point now);
     void apply_document(parsed_document parsed);
 
@@ -189,7 +189,7 @@
     std::function<void()> notify_change;
     std::map<std::string, stored_item> items;
     std::map<std::string, std::string> server_names; ///< by item key
-    std::vector<removed_item> removals;              ///< oldest first
+    std::map<std::string, removal> removals;         ///< by item key
     /// Later removals are kept, except those of items from the gap.
     std::uint64_t removals_since = 0;
     /// The last one; removals_since is not below the end of the one before.
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -355,3 +355,23 @@
     this->list(this->second);
     EXPECT_EQ(this->second.servers().all().size(), 1U);
 }
+
+// Guards against a server that has left and is used again: the instance never
+// had it when a peer told of its removal, but its own late listing has it.
+TEST_F(a_followed_source, keeps_removals_of_servers_that_were_not_known)
+{
+    this->list(this->first);
+    this->list(this->second);
+    this->source.put(key_of(6));
+    const net::source_listing late = this->ask(this->second);
+    this->watch(this->first);
+    this->source.remove(key_of(6));
+    this->watch(this->first);
+    this->pass_on(this->first, this->second);
+    EXPECT_TRUE(this->second.apply_listing(late, start));
+    EXPECT_FALSE(this->uses(this->second, 6));
+    // The server starts again.
+    this->source.put(key_of(6));
+    this->watch(this->second);
+    EXPECT_TRUE(this->uses(this->second, 6));
+}
