Let the source's listing overrule a removal inferred from a peer's list

Cause: what a peer's complete list lacked was recorded as removed at the list's revision. If the peer was wrong, the source's later listing of the server looked older than that record, and the sound server stayed out of use until its entry was written anew.

Change: such a removal is marked as inferred. What has the item at its revision or later overrules it.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -117,20 +117,28 @@
 }
 
 // Whether the item has been removed after its revision, as far as removals are
-// kept.
-bool published::is_removed(const published_item& item) const
+// kept. `as_of` is the revision at which its sender had it.
+bool published::is_removed(const published_item& item,
+                           std::uint64_t as_of) const
 {
     const auto found = this->removals.find(item.key);
-    return found != this->removals.end() &&
-           found->second.revision > item.revision;
+    if (found == this->removals.end())
+    {
+        return false;
+    }
+    const removal& removed = found->second;
+    return removed.revision > item.revision &&
+           (!removed.inferred || removed.revision > as_of);
 }
 
 // Stores and applies an item; true if its revision is new. An item of the
 // stored revision is applied again only if it announces a server. A listing may
 // be older than a removal that has come from another instance.
-bool published::store(const published_item& item, core::time_point now)
+bool published::store(const published_item& item,
+                      std::uint64_t as_of,
+                      core::time_point now)
 {
-    if (!this->items.contains(item.key) && this->is_removed(item))
+    if (!this->items.contains(item.key) && this->is_removed(item, as_of))
     {
         ++this->counts.items_outdated;
         return false;
@@ -206,6 +214,7 @@
         log::write(log::level::info, "server_removed",
                    {log::kv("server", server->second),
                     log::kv("lapsed", lapsed),
+                    log::kv("inferred", removed.inferred),
                     log::kv("revision", removed.revision)});
         this->registry.remove(server->second, removed.kind, now);
         this->server_names.erase(server);
@@ -224,11 +233,10 @@
     this->gap = {from, to};
 }
 
-// Makes the items those of a list of the revision. Newer ones stay: they may
-// have come from another instance. True if an item changed.
+// Makes the items those of a list of the revision `missing.revision`. Newer
+// ones stay: they may have come from another instance. True if an item changed.
 bool published::replace_items(const std::vector<published_item>& listed,
-                              std::uint64_t revision,
-                              core::removal_kind missing,
+                              const removal& missing,
                               core::time_point now)
 {
     std::set<std::string> listed_keys;
@@ -238,29 +246,29 @@
     for (const published_item& item : listed)
     {
         listed_keys.insert(item.key);
-        has_changes |= this->store(item, now);
+        has_changes |= this->store(item, missing.revision, now);
     }
     if (this->in_first_listing)
     {
         log::write(log::level::info, "servers_listed",
                    {log::kv("servers", this->registry.all().size()),
-                    log::kv("revision", revision)});
+                    log::kv("revision", missing.revision)});
         this->in_first_listing = false;
     }
     std::vector<std::string> missing_keys;
     for (const auto& [key, stored] : this->items)
     {
-        if (!listed_keys.contains(key) && stored.revision <= revision)
+        if (!listed_keys.contains(key) && stored.revision <= missing.revision)
         {
             missing_keys.push_back(key);
         }
     }
     for (const std::string& key : missing_keys)
     {
-        has_changes |= this->remove(key, {revision, missing}, now);
+        has_changes |= this->remove(key, missing, now);
     }
-    this->add_gap(this->current_revision, revision);
-    this->raise_revision(revision, now);
+    this->add_gap(this->current_revision, missing.revision);
+    this->raise_revision(missing.revision, now);
     return has_changes;
 }
 
@@ -280,16 +288,18 @@
                     log::kv("known", this->current_revision)});
         return false;
     }
-    if (this->replace_items(listing.items, listing.revision, listing.missing,
-                            now))
+    if (this->replace_items(listing.items,
+                            {listing.revision, listing.missing, false}, now))
     {
         this->notify_change();
     }
     return true;
 }
 
-// Applies changes. Outdated ones bring no item that is not held.
+// Applies changes up to the revision. Outdated ones bring no item that is not
+// held.
 bool published::apply_each(const std::vector<published_item>& changes,
+                           std::uint64_t revision,
                            bool outdated,
                            core::time_point now)
 {
@@ -298,8 +308,8 @@
     {
         if (item.removed)
         {
-            has_changes |=
-                this->remove(item.key, {item.revision, item.removal}, now);
+            has_changes |= this->remove(
+                item.key, {item.revision, item.removal, item.inferred}, now);
         }
         else if (outdated && !this->items.contains(item.key))
         {
@@ -307,7 +317,7 @@
         }
         else
         {
-            has_changes |= this->store(item, now);
+            has_changes |= this->store(item, revision, now);
         }
     }
     return has_changes;
@@ -320,7 +330,7 @@
     // The answer may have been late, or may be a second one. What it tells of
     // items that are not held may then be outdated.
     const bool outdated = this->may_lack_removal_after(revision);
-    const bool has_changes = this->apply_each(changes, outdated, now);
+    const bool has_changes = this->apply_each(changes, revision, outdated, now);
     this->raise_revision(revision, now);
     if (has_changes)
     {
@@ -347,8 +357,8 @@
         {
             if (removed.revision > revision)
             {
-                text.items.push_back(
-                    {key, "", removed.revision, true, removed.kind});
+                text.items.push_back({key, "", removed.revision, true,
+                                      removed.kind, removed.inferred});
             }
         }
     }
@@ -370,12 +380,14 @@
     bool has_changes = false;
     if (parsed->complete)
     {
-        has_changes = this->replace_items(parsed->items, parsed->revision,
-                                          core::removal_kind::certain, now);
+        has_changes = this->replace_items(
+            parsed->items,
+            {parsed->revision, core::removal_kind::certain, true}, now);
     }
     else
     {
-        has_changes = this->apply_each(parsed->items, false, now);
+        has_changes =
+            this->apply_each(parsed->items, parsed->revision, false, now);
         this->raise_revision(parsed->revision, now);
     }
     if (has_changes)
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -151,6 +151,9 @@
     {
         std::uint64_t revision = 0;
         core::removal_kind kind = core::removal_kind::certain;
+        /// Another instance lacked the item: it was removed at this revision or
+        /// before, unless that instance was wrong.
+        bool inferred = false;
     };
 
     /// Revisions, both ends excluded, in which items may have been written and
@@ -169,15 +172,17 @@
     void add_gap(std::uint64_t from, std::uint64_t to);
     bool may_lack_removal_after(std::uint64_t revision) const;
     bool replace_items(const std::vector<published_item>& listed,
-                       std::uint64_t revision,
-                       core::removal_kind missing,
+                       const removal& missing,
                        core::time_point now);
     bool apply_each(const std::vector<published_item>& changes,
+                    std::uint64_t revision,
                     bool outdated,
                     core::time_point now);
     void raise_revision(std::uint64_t revision, core::time_point now);
-    bool is_removed(const published_item& item) const;
-    bool store(const published_item& item, core::time_point now);
+    bool is_removed(const published_item& item, std::uint64_t as_of) const;
+    bool store(const published_item& item,
+               std::uint64_t as_of,
+               core::time_point now);
     bool remove(const std::string& key,
                 const removal& removed,
                 core::time_point now);
--- a/medlarbarrow/net/published_text.cpp
+++ b/medlarbarrow/net/published_text.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// The third element is the value; for a removed item, it is true if the item
-/// may only have lapsed.
+/// may only have lapsed, and a fourth one tells whether it was inferred.
 json to_json(const published_item& item)
 {
     if (!item.removed)
@@ -18,7 +18,7 @@
         return json::array({item.key, item.revision, item.value});
     }
     const bool lapsed = item.removal == core::removal_kind::lapsed;
-    return json::array({item.key, item.revision, lapsed});
+    return json::array({item.key, item.revision, lapsed, item.inferred});
 }
 
 published_item to_item(const json& element)
@@ -35,6 +35,8 @@
     }
     item.removal = value_or_lapsed.get<bool>() ? core::removal_kind::lapsed
                                                : core::removal_kind::certain;
+    // Instances of earlier releases leave it out.
+    item.inferred = element.size() > 3 && element.at(3).get<bool>();
     return item;
 }
 
--- a/medlarbarrow/net/published_text.hpp
+++ b/medlarbarrow/net/published_text.hpp
@@ -20,6 +20,9 @@
     bool removed = false;
     /// Kind of the removal, if `removed` is set.
     core::removal_kind removal = core::removal_kind::certain;
+    /// The removal was only inferred from a list of another instance, which
+    /// lacked the item.
+    bool inferred = false;
 };
 
 /// What an instance passes on: all items, or the changes after a revision.
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -375,3 +375,22 @@
     this->watch(this->second);
     EXPECT_TRUE(this->uses(this->second, 6));
 }
+
+// Guards against a sound server that is not used any more: the instance that
+// passed its list on lacks it, and the source's later listing has it.
+TEST_F(a_followed_source, uses_a_listed_server_again_that_a_peer_lacked)
+{
+    this->list(this->second);
+    this->source.put(key_of(8));
+    net::source_listing part = this->source.list(0);
+    std::erase_if(part.items,
+                  [](const published_item& item)
+                  {
+                      return item.key == key_of(1);
+                  });
+    ASSERT_TRUE(this->first.apply_listing(part, start));
+    ASSERT_FALSE(this->second.apply_text(this->first.text_since(0), start));
+    EXPECT_FALSE(this->uses(this->second, 1));
+    this->list(this->second);
+    EXPECT_TRUE(this->uses(this->second, 1));
+}
