Tell peers which revisions the last complete list has skipped

Cause: an instance that lists the source again, after a lost history, never learns of a server that came and went meanwhile, so the changes that it passes on name no removal. A peer that had the server from another reader used it on without an end.

Change: the changes for peers hold the gap of revisions that the last complete list has skipped; what a receiver holds from it and the changes lack is removed. A peer that asks from inside the gap gets the changes from its beginning.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -340,31 +340,79 @@
 
 std::string published::text_since(std::uint64_t revision) const
 {
+    // Some removals in the gap are not known: the changes begin before it.
+    const std::uint64_t since =
+        this->gap.contains(revision) ? this->gap.from : revision;
     published_text text;
     text.revision = this->current_revision;
-    text.complete = revision == 0 || revision < this->removals_since ||
-                    (this->gap.from == 0 && this->gap.contains(revision));
+    text.complete = since == 0 || since < this->removals_since;
     for (const auto& [key, stored] : this->items)
     {
-        if (text.complete || stored.revision > revision)
+        if (text.complete || stored.revision > since)
         {
             text.items.push_back({key, stored.value, stored.revision});
         }
     }
-    if (!text.complete)
+    if (text.complete)
     {
-        for (const auto& [key, removed] : this->removals)
+        return format_published_text(text);
+    }
+    if (since < this->gap.to)
+    {
+        text.gap = this->gap;
+    }
+    for (const auto& [key, removed] : this->removals)
+    {
+        if (removed.revision > since)
         {
-            if (removed.revision > revision)
-            {
-                text.items.push_back({key, "", removed.revision, true,
-                                      removed.kind, removed.inferred});
-            }
+            text.items.push_back({key, "", removed.revision, true, removed.kind,
+                                  removed.inferred});
         }
     }
     return format_published_text(text);
 }
 
+// Removes items that were written in the sender's gap and that it lacks: it has
+// not seen them, so it cannot name them.
+bool published::remove_lost_in(const published_text& text, core::time_point now)
+{
+    std::set<std::string> passed_on;
+    for (const published_item& item : text.items)
+    {
+        passed_on.insert(item.key);
+    }
+    std::vector<std::string> lost;
+    for (const auto& [key, stored] : this->items)
+    {
+        if (stored.revision > text.gap.from && stored.revision <= text.gap.to &&
+            !passed_on.contains(key))
+        {
+            lost.push_back(key);
+        }
+    }
+    const removal missing{text.gap.to, core::removal_kind::certain, true};
+    for (const std::string& key : lost)
+    {
+        this->remove(key, missing, now);
+    }
+    return !lost.empty();
+}
+
+bool published::apply_peer_changes(const published_text& text,
+                                   core::time_point now)
+{
+    bool has_changes = false;
+    if (this->current_revision < text.gap.to)
+    {
+        has_changes = this->remove_lost_in(text, now);
+        this->add_gap(std::max(text.gap.from, this->current_revision),
+                      text.gap.to);
+    }
+    has_changes |= this->apply_each(text.items, text.revision, false, now);
+    this->raise_revision(text.revision, now);
+    return has_changes;
+}
+
 std::error_code published::apply_text(std::string_view text,
                                       core::time_point now)
 {
@@ -386,9 +434,7 @@
     }
     else
     {
-        has_changes =
-            this->apply_each(parsed->items, parsed->revision, false, now);
-        this->raise_revision(parsed->revision, now);
+        has_changes = this->apply_peer_changes(*parsed, now);
     }
     if (has_changes)
     {
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -156,19 +156,6 @@
         bool inferred = false;
     };
 
-    /// Revisions, both ends excluded, in which items may have been written and
-    /// removed without becoming known.
-    struct revision_gap
-    {
-        std::uint64_t from = 0;
-        std::uint64_t to = 0;
-
-        bool contains(std::uint64_t revision) const noexcept
-        {
-            return this->from < revision && revision < this->to;
-        }
-    };
-
     void add_gap(std::uint64_t from, std::uint64_t to);
     bool may_lack_removal_after(std::uint64_t revision) const;
     bool replace_items(const std::vector<published_item>& listed,
@@ -178,6 +165,8 @@
                     std::uint64_t revision,
                     bool outdated,
                     core::time_point now);
+    bool remove_lost_in(const published_text& text, core::time_point now);
+    bool apply_peer_changes(const published_text& text, core::time_point now);
     void raise_revision(std::uint64_t revision, core::time_point now);
     bool is_removed(const published_item& item, std::uint64_t as_of) const;
     bool store(const published_item& item,
--- a/medlarbarrow/net/published_text.cpp
+++ b/medlarbarrow/net/published_text.cpp
@@ -49,9 +49,13 @@
     {
         changes.push_back(to_json(item));
     }
-    const json formatted{{"at", text.revision},
-                         {"complete", text.complete},
-                         {"changes", std::move(changes)}};
+    json formatted{{"at", text.revision},
+                   {"complete", text.complete},
+                   {"changes", std::move(changes)}};
+    if (text.gap.to != 0)
+    {
+        formatted["gap"] = json::array({text.gap.from, text.gap.to});
+    }
     return formatted.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -68,6 +72,11 @@
         {
             result.items.push_back(to_item(element));
         }
+        if (const auto gap = parsed.find("gap"); gap != parsed.end())
+        {
+            result.gap = {gap->at(0).get<std::uint64_t>(),
+                          gap->at(1).get<std::uint64_t>()};
+        }
         return result;
     }
     catch (const std::exception&)
--- a/medlarbarrow/net/published_text.hpp
+++ b/medlarbarrow/net/published_text.hpp
@@ -25,12 +25,28 @@
     bool inferred = false;
 };
 
+/// Revisions, both ends excluded, in which items may have been written and
+/// removed without becoming known.
+struct revision_gap
+{
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+
+    bool contains(std::uint64_t revision) const noexcept
+    {
+        return this->from < revision && revision < this->to;
+    }
+};
+
 /// What an instance passes on: all items, or the changes after a revision.
 struct published_text
 {
     std::uint64_t revision = 0; ///< every change up to it is contained
     bool complete = false;      ///< `items` are all items, without removals
     std::vector<published_item> items;
+    /// Of the changes: an item that was written in the gap, or at its end, and
+    /// that `items` lacks has been removed by the end of the gap.
+    revision_gap gap;
 };
 
 std::string format_published_text(const published_text& text);
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -394,3 +394,78 @@
     this->list(this->second);
     EXPECT_TRUE(this->uses(this->second, 1));
 }
+
+/// And the first instance lists the source again, because the history was lost
+/// in which a server has come and gone.
+class a_list_after_lost_history : public a_followed_source
+{
+protected:
+    void SetUp() override
+    {
+        a_followed_source::SetUp();
+        this->list(this->first);
+        this->list(this->second);
+        this->base = this->first.revision();
+        this->source.put(key_of(6));
+        this->watch(this->second);
+        ASSERT_TRUE(this->uses(this->second, 6));
+        this->source.remove(key_of(6));
+        this->source.put(key_of(7));
+        this->list(this->first);
+    }
+
+    void expect_followed(const net::published& instance)
+    {
+        EXPECT_EQ(instance.revision(), this->source.revision);
+        EXPECT_FALSE(this->uses(instance, 6));
+        EXPECT_TRUE(this->uses(instance, 7));
+        EXPECT_TRUE(this->uses(instance, 0));
+    }
+
+    std::uint64_t base = 0; ///< of the first instance, before it listed again
+};
+
+// Guards against a server that has left and stays in use for good: the instance
+// that passes its changes on never knew the server, so it names no removal.
+TEST_F(a_list_after_lost_history, removes_servers_that_only_peers_knew)
+{
+    // The changes since the last ones that the first instance passed on.
+    ASSERT_FALSE(
+        this->second.apply_text(this->first.text_since(this->base), start));
+    this->expect_followed(this->second);
+}
+
+// Guards against the same when the instance that lags behind asks itself.
+TEST_F(a_list_after_lost_history, removes_them_where_a_peer_asks)
+{
+    this->pass_on(this->first, this->second);
+    this->expect_followed(this->second);
+}
+
+// Guards against the same at a third instance, over one that has the changes
+// from the first.
+TEST_F(a_list_after_lost_history, removes_them_where_it_is_passed_on)
+{
+    net::published third{platform::read_item, [] {}};
+    ASSERT_FALSE(third.apply_text(this->second.text_since(0), start));
+    net::published between{platform::read_item, [] {}};
+    net::source_listing earlier = this->source.list(0);
+    earlier.items.clear();
+    for (int number = 0; number < 4; ++number)
+    {
+        earlier.items.push_back(this->source.items.at(key_of(number)));
+    }
+    earlier.revision = this->base;
+    ASSERT_TRUE(between.apply_listing(earlier, start));
+    this->pass_on(this->first, between);
+    this->pass_on(between, third);
+    this->expect_followed(third);
+}
+
+// Guards against a complete list for each peer after a lost history: the
+// changes suffice where a peer had what the instance had before.
+TEST_F(a_list_after_lost_history, is_passed_on_as_changes)
+{
+    EXPECT_LT(this->first.text_since(this->base).size(),
+              this->first.text_since(0).size());
+}
