Pass a lapse on with a complete list, and only during its grace period

Cause: that a removal may only be a lapse was kept with the removal. A complete list has no removals, so its receiver dropped sound servers at once that had lapsed in an outage of the source; and the changes called a removal a lapse minutes after the server's grace period had ended.

Change: the servers in their grace period are known by item key. A complete list names them, and changes call only theirs a lapse.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -153,6 +153,7 @@
     const bool same_revision = item.revision == stored.revision;
     stored = {item.value, item.revision};
     this->removals.erase(item.key);
+    this->lapsing_servers.erase(item.key);
     this->apply_item(item, now);
     return !same_revision;
 }
@@ -194,6 +195,7 @@
 // no such item or it is newer than the removal.
 bool published::remove(const std::string& key,
                        const removal& removed,
+                       core::removal_kind kind,
                        core::time_point now)
 {
     const auto it = this->items.find(key);
@@ -210,18 +212,40 @@
     const auto server = this->server_names.find(key);
     if (server != this->server_names.end())
     {
-        const bool lapsed = removed.kind == core::removal_kind::lapsed;
+        const bool lapsed = kind == core::removal_kind::lapsed;
         log::write(log::level::info, "server_removed",
                    {log::kv("server", server->second),
                     log::kv("lapsed", lapsed),
                     log::kv("inferred", removed.inferred),
                     log::kv("revision", removed.revision)});
-        this->registry.remove(server->second, removed.kind, now);
+        this->registry.remove(server->second, kind, now);
+        if (lapsed)
+        {
+            this->lapsing_servers[key] = server->second;
+        }
         this->server_names.erase(server);
     }
     return true;
 }
 
+// Whether the item has lapsed and its server is in its grace period.
+bool published::is_lapsing(const std::string& key) const
+{
+    const auto found = this->lapsing_servers.find(key);
+    return found != this->lapsing_servers.end() &&
+           this->registry.find(found->second) != nullptr;
+}
+
+// Forgets servers whose grace period has ended.
+void published::end_lapses()
+{
+    std::erase_if(this->lapsing_servers,
+                  [this](const auto& lapsing)
+                  {
+                      return this->registry.find(lapsing.second) == nullptr;
+                  });
+}
+
 // What was written and removed between the revisions is not known.
 void published::add_gap(std::uint64_t from, std::uint64_t to)
 {
@@ -237,8 +261,10 @@
 // ones stay: they may have come from another instance. True if an item changed.
 bool published::replace_items(const std::vector<published_item>& listed,
                               const removal& missing,
+                              const missing_kind& kind_of,
                               core::time_point now)
 {
+    this->end_lapses();
     std::set<std::string> listed_keys;
     bool has_changes = false;
     // One line instead of one for each server: all instances list all servers.
@@ -265,7 +291,7 @@
     }
     for (const std::string& key : missing_keys)
     {
-        has_changes |= this->remove(key, missing, now);
+        has_changes |= this->remove(key, missing, kind_of(key), now);
     }
     this->add_gap(this->current_revision, missing.revision);
     this->raise_revision(missing.revision, now);
@@ -288,8 +314,12 @@
                     log::kv("known", this->current_revision)});
         return false;
     }
-    if (this->replace_items(listing.items,
-                            {listing.revision, listing.missing, false}, now))
+    const auto kind_of = [&listing](const std::string&)
+    {
+        return listing.missing;
+    };
+    if (this->replace_items(listing.items, {listing.revision, false}, kind_of,
+                            now))
     {
         this->notify_change();
     }
@@ -303,13 +333,14 @@
                            bool outdated,
                            core::time_point now)
 {
+    this->end_lapses();
     bool has_changes = false;
     for (const published_item& item : changes)
     {
         if (item.removed)
         {
             has_changes |= this->remove(
-                item.key, {item.revision, item.removal, item.inferred}, now);
+                item.key, {item.revision, item.inferred}, item.removal, now);
         }
         else if (outdated && !this->items.contains(item.key))
         {
@@ -355,6 +386,13 @@
     }
     if (text.complete)
     {
+        for (const auto& [key, server] : this->lapsing_servers)
+        {
+            if (this->is_lapsing(key))
+            {
+                text.lapsed.insert(key);
+            }
+        }
         return format_published_text(text);
     }
     if (since < this->gap.to)
@@ -365,8 +403,11 @@
     {
         if (removed.revision > since)
         {
-            text.items.push_back({key, "", removed.revision, true, removed.kind,
-                                  removed.inferred});
+            const core::removal_kind kind = this->is_lapsing(key)
+                                                ? core::removal_kind::lapsed
+                                                : core::removal_kind::certain;
+            text.items.push_back(
+                {key, "", removed.revision, true, kind, removed.inferred});
         }
     }
     return format_published_text(text);
@@ -390,14 +431,25 @@
             lost.push_back(key);
         }
     }
-    const removal missing{text.gap.to, core::removal_kind::certain, true};
+    const removal missing{text.gap.to, true};
     for (const std::string& key : lost)
     {
-        this->remove(key, missing, now);
+        this->remove(key, missing, core::removal_kind::certain, now);
     }
     return !lost.empty();
 }
 
+bool published::apply_peer_list(const published_text& text,
+                                core::time_point now)
+{
+    const auto kind_of = [&text](const std::string& key)
+    {
+        return text.lapsed.contains(key) ? core::removal_kind::lapsed
+                                         : core::removal_kind::certain;
+    };
+    return this->replace_items(text.items, {text.revision, true}, kind_of, now);
+}
+
 bool published::apply_peer_changes(const published_text& text,
                                    core::time_point now)
 {
@@ -425,17 +477,9 @@
     {
         return {};
     }
-    bool has_changes = false;
-    if (parsed->complete)
-    {
-        has_changes = this->replace_items(
-            parsed->items,
-            {parsed->revision, core::removal_kind::certain, true}, now);
-    }
-    else
-    {
-        has_changes = this->apply_peer_changes(*parsed, now);
-    }
+    const bool has_changes = parsed->complete
+                                 ? this->apply_peer_list(*parsed, now)
+                                 : this->apply_peer_changes(*parsed, now);
     if (has_changes)
     {
         this->notify_change();
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -150,22 +150,29 @@
     struct removal
     {
         std::uint64_t revision = 0;
-        core::removal_kind kind = core::removal_kind::certain;
         /// Another instance lacked the item: it was removed at this revision or
         /// before, unless that instance was wrong.
         bool inferred = false;
     };
 
+    /// Returns the kind of the removal of an item that a list lacks.
+    using missing_kind =
+        std::function<core::removal_kind(const std::string& key)>;
+
+    bool is_lapsing(const std::string& key) const;
+    void end_lapses();
     void add_gap(std::uint64_t from, std::uint64_t to);
     bool may_lack_removal_after(std::uint64_t revision) const;
     bool replace_items(const std::vector<published_item>& listed,
                        const removal& missing,
+                       const missing_kind& kind_of,
                        core::time_point now);
     bool apply_each(const std::vector<published_item>& changes,
                     std::uint64_t revision,
                     bool outdated,
                     core::time_point now);
     bool remove_lost_in(const published_text& text, core::time_point now);
+    bool apply_peer_list(const published_text& text, core::time_point now);
     bool apply_peer_changes(const published_text& text, core::time_point now);
     void raise_revision(std::uint64_t revision, core::time_point now);
     bool is_removed(const published_item& item, std::uint64_t as_of) const;
@@ -174,6 +181,7 @@
                core::time_point now);
     bool remove(const std::string& key,
                 const removal& removed,
+                core::removal_kind kind,
                 core::time_point now);
     void record_removal(const std::string& key, const removal& removed);
     void apply_item(const published_item& item, core::time_point now);
@@ -188,6 +196,8 @@
     std::uint64_t removals_since = 0;
     /// The last one; removals_since is not below the end of the one before.
     revision_gap gap;
+    /// Servers whose items have lapsed and that are still usable, by item key.
+    std::map<std::string, std::string> lapsing_servers;
     std::uint64_t current_revision = 0;
     core::time_point raised_at{};
     std::shared_ptr<const core::document> current_document;
--- a/medlarbarrow/net/published_text.cpp
+++ b/medlarbarrow/net/published_text.cpp
@@ -56,6 +56,10 @@
     {
         formatted["gap"] = json::array({text.gap.from, text.gap.to});
     }
+    if (!text.lapsed.empty())
+    {
+        formatted["lapsed"] = text.lapsed;
+    }
     return formatted.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -77,6 +81,10 @@
             result.gap = {gap->at(0).get<std::uint64_t>(),
                           gap->at(1).get<std::uint64_t>()};
         }
+        if (const auto lapsed = parsed.find("lapsed"); lapsed != parsed.end())
+        {
+            result.lapsed = lapsed->get<std::set<std::string>>();
+        }
         return result;
     }
     catch (const std::exception&)
--- a/medlarbarrow/net/published_text.hpp
+++ b/medlarbarrow/net/published_text.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <medlarbarrow/core/registry.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,9 @@
     /// Of the changes: an item that was written in the gap, or at its end, and
     /// that `items` lacks has been removed by the end of the gap.
     revision_gap gap;
+    /// Of a complete list: items that it lacks because they have lapsed, and
+    /// whose servers are still in their grace period.
+    std::set<std::string> lapsed;
 };
 
 std::string format_published_text(const published_text& text);
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -469,3 +469,43 @@
     EXPECT_LT(this->first.text_since(this->base).size(),
               this->first.text_since(0).size());
 }
+
+// Guards against sound servers that get no grace period at an instance that
+// lags far behind: their entries have lapsed while the source was away, and the
+// complete list of another instance lacks them.
+TEST_F(a_followed_source, passes_lapses_on_with_a_complete_list)
+{
+    this->list(this->first);
+    this->list(this->second);
+    this->source.remove(key_of(0));
+    this->source.remove(key_of(1));
+    std::vector<published_item> changes =
+        this->source.changes_after(this->first.revision());
+    changes.front().removal = core::removal_kind::lapsed;
+    this->first.apply_changes(changes, this->source.revision, start);
+    ASSERT_FALSE(this->second.apply_text(this->first.text_since(0), start));
+    EXPECT_TRUE(this->uses(this->second, 0));
+    EXPECT_FALSE(this->uses(this->second, 1));
+    this->second.servers().tick(start + 3s);
+    EXPECT_FALSE(this->uses(this->second, 0));
+}
+
+// Guards against a server that has left and is used again for a grace period:
+// what lapsed long ago, and has not come back, has left.
+TEST_F(a_followed_source, passes_old_lapses_on_as_removals)
+{
+    this->list(this->first);
+    this->list(this->second);
+    net::published third{platform::read_item, [] {}};
+    this->list(third);
+    this->source.remove(key_of(0));
+    std::vector<published_item> changes =
+        this->source.changes_after(this->first.revision());
+    changes.front().removal = core::removal_kind::lapsed;
+    this->first.apply_changes(changes, this->source.revision, start);
+    this->first.servers().tick(start + 3s);
+    this->pass_on(this->first, this->second);
+    EXPECT_FALSE(this->uses(this->second, 0));
+    ASSERT_FALSE(third.apply_text(this->first.text_since(0), start));
+    EXPECT_FALSE(this->uses(third, 0));
+}
