Play late and repeated answers at random; mend what that found

Cause: the changes of an instance that has listed again may name an earlier removal of a server that came back and left in the skipped revisions. A receiver that had the server took it as passed on, and kept it.

Change: only an item that is passed on shows that it isn't lost in the gap. A property plays changes, listings, watches and exchanges between three instances, with answers that come late, twice or in another order and with restarts: no instance uses a server whose removal its revision covers, and all agree with the source at the end.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -420,13 +420,18 @@
     std::set<std::string> passed_on;
     for (const published_item& item : text.items)
     {
-        passed_on.insert(item.key);
+        // A removal may be an earlier one.
+        if (!item.removed)
+        {
+            passed_on.insert(item.key);
+        }
     }
     std::vector<std::string> lost;
     for (const auto& [key, stored] : this->items)
     {
-        if (stored.revision > text.gap.from && stored.revision <= text.gap.to &&
-            !passed_on.contains(key))
+        const bool in_gap =
+            stored.revision > text.gap.from && stored.revision <= text.gap.to;
+        if (in_gap && !passed_on.contains(key))
         {
             lost.push_back(key);
         }
