Test the status 000 on each way of an answer to a client

The product held already; only tests are added. Clients get 502. The HTTP/2 between instances carries no answer to a client: no test.

--- a/standin/raw_server.cpp
+++ b/standin/raw_server.cpp
@@ -65,13 +65,15 @@
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     std::string input;
-    while (this->answer(socket, input))
+    bool first = true;
+    while (this->answer(socket, input, first))
     {
+        first = false;
     }
 }
 
 // Answers the next request. False when the connection has ended.
-bool raw_server::answer(tcp::socket& socket, std::string& input)
+bool raw_server::answer(tcp::socket& socket, std::string& input, bool first)
 {
     error_code failure;
     const std::size_t length = asio::read_until(
@@ -94,7 +96,10 @@
                                           input.size()),
                    failure);
     }
-    this->write(socket, with_request_id(this->response.text, id));
+    const std::string& text = first && this->response.first_text
+                                  ? *this->response.first_text
+                                  : this->response.text;
+    this->write(socket, with_request_id(text, id));
     if (this->response.waits_for_full_buffers)
     {
         this->wait_for_full_buffers(socket);
--- a/standin/raw_server.hpp
+++ b/standin/raw_server.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <mutex>
+#include <optional>
 #include <standin/thread_per_connection.hpp>
 #include <vector>
 
@@ -36,6 +37,8 @@
     std::chrono::milliseconds reset_delay{0};
     /// Bytes that are written at once, each in a segment of its own; 0: all.
     std::size_t segment_bytes = 0;
+    /// Response to the first request on each connection, if not `text`.
+    std::optional<std::string> first_text = std::nullopt;
 };
 
 /// Answers each request with the same response. Clients must close their
@@ -61,7 +64,7 @@
     using tcp = boost::asio::ip::tcp;
 
     void serve_connection(tcp::socket& socket);
-    bool answer(tcp::socket& socket, std::string& input);
+    bool answer(tcp::socket& socket, std::string& input, bool first);
     void write(tcp::socket& socket, std::string_view text) const;
     void end(tcp::socket& socket);
     void wait_for_full_buffers(tcp::socket& socket) const;
--- a/tests/broken_answer_fleet_test.cpp
+++ b/tests/broken_answer_fleet_test.cpp
@@ -23,7 +23,9 @@
 constexpr std::size_t upload_bytes = 8U << 20U;
 
 /// Sends the text of a request and reads the answer at the same time.
-client_answer exchange(const tcp::endpoint& target, const std::string& text)
+client_answer exchange(const tcp::endpoint& target,
+                       const std::string& text,
+                       bool head_only = false)
 {
     asio::io_context io;
     tcp::socket socket(io);
@@ -37,6 +39,7 @@
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
+    parser.skip(head_only);
     error_code failure;
     http::read(socket, buffer, parser, failure);
     client_answer received;
@@ -152,6 +155,134 @@
         malformed_head{"200", " folded\r\nContent-Length: 3\r\n"},
         malformed_head{"200", "A: b\r\n Content-Length: 2\r\n"}));
 
+/// Given servers whose answers have the status 000, in each framing.
+class an_instance_with_servers_of_status_000
+    : public an_instance_with_broken_servers,
+      public testing::WithParamInterface<framing>
+{
+protected:
+    /// A whole answer of status 000 with a body of three bytes.
+    std::string answer() const
+    {
+        std::string text = this->texts.whole(GetParam(), 3);
+        text.replace(text.find("200"), 3, "000");
+        return text;
+    }
+
+    /// How a server ends it.
+    static connection_end ending()
+    {
+        return GetParam() == framing::until_close ? connection_end::close
+                                                  : connection_end::none;
+    }
+
+    /// Sends one request of the method, with a short body if it has one.
+    client_answer
+    send(const std::string& method, const std::string& path, unsigned number)
+    {
+        const std::string body = method == "POST" ? "abc" : "";
+        const std::string id = fmt::format("{}-{}", method, number);
+        const client_answer received = exchange(
+            this->endpoint_of(0),
+            fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}: {}\r\n"
+                        "Content-Length: {}\r\n\r\n{}",
+                        method, path, request_id_header, id, body.size(), body),
+            method == "HEAD");
+        EXPECT_TRUE(this->has_arrived(id)) << id;
+        return received;
+    }
+
+    /// Sends requests of each method on each kind of route.
+    void expect_all_are_told_of_the_fault()
+    {
+        unsigned number = 0;
+        for (const char* path : {"/order/1", "/browse/1"})
+        {
+            for (const char* method : {"GET", "HEAD", "POST", "DELETE"})
+            {
+                SCOPED_TRACE(fmt::format("{} {}", method, path));
+                const client_answer received =
+                    this->send(method, path, ++number);
+                EXPECT_EQ(received.status, 502U);
+                EXPECT_TRUE(received.complete);
+            }
+        }
+    }
+};
+
+// Guards against a client that gets an answer whose status is none.
+TEST_P(an_instance_with_servers_of_status_000, gives_it_to_no_client)
+{
+    this->start({this->answer(), 0, false, ending()});
+    this->expect_all_are_told_of_the_fault();
+}
+
+// Guards against the same after an interim answer.
+TEST_P(an_instance_with_servers_of_status_000,
+       gives_it_to_none_after_an_interim)
+{
+    this->start(
+        {"HTTP/1.1 100 Continue\r\n\r\n" + this->answer(), 0, false, ending()});
+    this->expect_all_are_told_of_the_fault();
+}
+
+// Guards against a client that is told that its request has not run: such an
+// answer proves nothing.
+TEST_P(an_instance_with_servers_of_status_000, does_not_believe_what_it_says)
+{
+    std::string text = this->answer();
+    text.insert(text.find("\r\n") + 2,
+                platform::http_interface_names().not_run + ": 1\r\n");
+    this->start({text, 0, false, ending()});
+    this->expect_all_are_told_of_the_fault();
+}
+
+// Guards against a client that gets it over a connection to the server that has
+// served others.
+TEST_P(an_instance_with_servers_of_status_000, gives_it_to_none_when_it_is_late)
+{
+    raw_response response{this->answer(), 0, false, ending()};
+    response.first_text = this->texts.whole(framing::length, 5);
+    // The first answer keeps the connection open.
+    response.end = connection_end::none;
+    if (GetParam() == framing::until_close)
+    {
+        response.text += "and more, without an end";
+    }
+    this->start(response);
+    unsigned failed = 0;
+    for (unsigned number = 1; number <= 12; ++number)
+    {
+        const client_answer received = this->send(
+            "GET", number % 2 == 0 ? "/order/1" : "/browse/1", number);
+        EXPECT_TRUE(received.complete);
+        failed += received.status == 502 ? 1 : 0;
+        if (received.status != 502)
+        {
+            EXPECT_EQ(received.status, 200U);
+            EXPECT_EQ(received.body_bytes, 5U);
+        }
+    }
+    EXPECT_GT(failed, 0U);
+}
+
+// Guards against the same while the client still sends a long body.
+TEST_P(an_instance_with_servers_of_status_000, gives_it_to_no_upload)
+{
+    this->start({this->answer(), 0, true, connection_end::close});
+    for (const char* path : {"/order/1", "/browse/1"})
+    {
+        const client_answer received = this->upload(path, path + 1);
+        EXPECT_EQ(received.status, 502U) << path;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(in_each_framing,
+                         an_instance_with_servers_of_status_000,
+                         testing::Values(framing::length,
+                                         framing::chunks,
+                                         framing::until_close));
+
 /// One way to break off: bytes of the answer's body that come, and bytes of the
 /// upload that the server reads before.
 struct broken_off
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -193,6 +193,19 @@
     }
 };
 
+/// Given a request that may not be repeated, whose answer is kept.
+class an_order_at_a_malformed_head : public an_attempt_at_a_malformed_head
+{
+protected:
+    an_order_at_a_malformed_head()
+    {
+        this->names = net::http_interface{};
+        this->request.method = "POST";
+        this->step.fresh_connection = true;
+        this->step.keep_answer = true;
+    }
+};
+
 /// Given an upload that fills the buffers, so that a write waits when the
 /// connection ends.
 class an_upload_that_waits : public an_attempt
@@ -380,6 +393,55 @@
     this->expect_none_is_an_answer(&answer_texts::with_bad_status);
 }
 
+// Guards against the same in the answer to a request without a body to come.
+TEST_F(an_attempt_at_a_malformed_head, gets_no_answer_with_a_bad_status_to_head)
+{
+    this->request.method = "HEAD";
+    this->expect_none_is_an_answer(&answer_texts::with_bad_status);
+}
+
+// Guards against the same after interim answers.
+TEST_F(an_attempt_at_a_malformed_head,
+       gets_no_answer_with_a_bad_status_after_an_interim_one)
+{
+    for (const std::string& text : this->texts().with_bad_status())
+    {
+        SCOPED_TRACE(text);
+        this->expect_rejected({"HTTP/1.1 100 Continue\r\n\r\n" + text, 0, false,
+                               connection_end::close});
+    }
+}
+
+// Guards against an interim answer whose status is none and that is skipped:
+// the bytes that follow cannot be trusted.
+TEST_F(an_attempt_at_a_malformed_head,
+       gets_no_answer_after_an_interim_one_with_a_bad_status)
+{
+    const std::string sound = this->texts().whole(framing::length, 3);
+    for (const char* status : {"000", "001", "099", "1", "10", "1000", "1x0"})
+    {
+        SCOPED_TRACE(status);
+        this->expect_no_answer(
+            {fmt::format("HTTP/1.1 {} Interim\r\n\r\n{}", status, sound), 0,
+             false, connection_end::close});
+        this->expect_no_answer({this->texts().head(status) + "\r\n" + sound, 0,
+                                false, connection_end::close});
+    }
+}
+
+// Guards against an answer with a bad status that is kept, so that each repeat
+// of its order would get it.
+TEST_F(an_order_at_a_malformed_head, keeps_no_answer_with_a_bad_status)
+{
+    for (const std::string& text : this->texts().with_bad_status())
+    {
+        SCOPED_TRACE(text);
+        this->expect_rejected({text, 0, false, connection_end::close});
+        this->expect_rejected({"HTTP/1.1 100 Continue\r\n\r\n" + text, 0, false,
+                               connection_end::close});
+    }
+}
+
 // Guards against a malformed line that reaches the caller, and against a body
 // that is not the server's because the line that frames it is malformed.
 TEST_F(an_attempt_at_a_malformed_head, gets_no_answer_with_a_bad_name)
