Test that an instance follows a store that has gone back

A guard on the other side of the late listing: after a drill all listings have lower revisions than what the instance had, and must not be taken for outdated. Nothing in the product changes. The stand-in store can come back from an older copy.

--- a/standin/store.cpp
+++ b/standin/store.cpp
@@ -117,6 +117,7 @@
     std::chrono::milliseconds lateness_of(const std::string& target) const;
     bool has_changes(const std::string& prefix, std::uint64_t after);
     json changes_after(const std::string& prefix, std::uint64_t after);
+    bool is_watchable(std::uint64_t after) const;
 
     asio::io_context io{1};
     tcp::acceptor acceptor{io};
@@ -165,10 +166,16 @@
     return late ? this->faults.lateness : std::chrono::milliseconds(0);
 }
 
+// Whether the history has all changes after the revision.
+bool store::state::is_watchable(std::uint64_t after) const
+{
+    return after >= this->first_watchable_revision && after <= this->revision;
+}
+
 bool store::state::has_changes(const std::string& prefix, std::uint64_t after)
 {
     const std::lock_guard guard(this->mutex);
-    return after < this->first_watchable_revision || this->faults.away ||
+    return !this->is_watchable(after) || this->faults.away ||
            std::any_of(this->history.begin(), this->history.end(),
                        [&](const change& change)
                        {
@@ -230,7 +237,7 @@
         }
         response.body() = this->changes_after(prefix, after).dump();
         const std::lock_guard guard(this->mutex);
-        if (after < this->first_watchable_revision)
+        if (!this->is_watchable(after))
         {
             response.result(http::status::gone);
             response.body().clear();
@@ -360,6 +367,35 @@
     this->self->first_watchable_revision = ++this->self->revision;
 }
 
+void store::go_back(std::uint64_t to_revision)
+{
+    const std::lock_guard guard(this->self->mutex);
+    std::erase_if(this->self->history,
+                  [to_revision](const change& written)
+                  {
+                      return written.revision > to_revision;
+                  });
+    this->self->items.clear();
+    for (const change& written : this->self->history)
+    {
+        if (written.removed)
+        {
+            this->self->items.erase(written.key);
+        }
+        else
+        {
+            this->self->items[written.key] = written;
+        }
+    }
+    this->self->revision = to_revision;
+}
+
+std::uint64_t store::revision() const
+{
+    const std::lock_guard guard(this->self->mutex);
+    return this->self->revision;
+}
+
 void store::set_faults(const store_faults& faults)
 {
     const std::lock_guard guard(this->self->mutex);
--- a/standin/store.hpp
+++ b/standin/store.hpp
@@ -55,6 +55,14 @@
     /// get status 410.
     void drop_history();
 
+    /// Comes back from an older copy: what was written after the revision is
+    /// gone, and its revisions are given out again. Watches that start at a
+    /// revision that does not exist any more get status 410.
+    void go_back(std::uint64_t to_revision);
+
+    /// Revision of the last change.
+    std::uint64_t revision() const;
+
     void set_faults(const store_faults& faults);
     store_counts counts() const;
 
--- a/tests/late_listing_test.cpp
+++ b/tests/late_listing_test.cpp
@@ -35,14 +35,19 @@
         this->store.set_faults(faults);
     }
 
-    /// Waits for so many more calls that list (two for each instance).
+    std::uint64_t listings() const
+    {
+        return this->store.counts().listings;
+    }
+
+    /// Waits until the store has had so many calls that list. Each instance
+    /// lists with two.
     void await_listings(std::uint64_t count)
     {
-        const std::uint64_t end = this->store.counts().listings + count;
         ASSERT_TRUE(eventually(
-            [this, end]
+            [this, count]
             {
-                return this->store.counts().listings >= end;
+                return this->listings() >= count;
             }));
     }
 
@@ -104,8 +109,9 @@
 {
     this->kill(0);
     this->delay_listings();
+    const std::uint64_t before = this->listings();
     this->start_instance(0);
-    this->await_listings(2);
+    this->await_listings(before + 2);
     this->store.remove("servers/s-1");
     this->expect_unused("s-1");
     this->start_again(1);
@@ -124,17 +130,19 @@
     {
         this->kill(index);
     }
-    // The first one lists at once.
+    // The first one lists at once, and watches.
+    const std::uint64_t watches = this->store.counts().watches;
     this->start_instance(0);
     ASSERT_TRUE(eventually(
-        [this]
+        [this, watches]
         {
-            return this->readiness(0) == 200;
+            return this->store.counts().watches > watches;
         }));
     this->delay_listings();
+    const std::uint64_t before = this->listings();
     this->start_instance(1);
     this->start_instance(2);
-    this->await_listings(4);
+    this->await_listings(before + 4);
     this->store.remove("servers/s-1");
     this->expect_unused("s-1");
 }
@@ -169,8 +177,9 @@
 TEST_F(a_fleet_that_follows_a_store, uses_no_left_server_after_a_lost_history)
 {
     this->delay_listings();
+    const std::uint64_t before = this->listings();
     this->store.drop_history();
-    this->await_listings(2);
+    this->await_listings(before + 2);
     this->store.remove("servers/s-1");
     this->expect_unused("s-1");
     this->start_again(1);
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -217,6 +217,24 @@
     EXPECT_TRUE(this->uses(this->second, 7));
 }
 
+// Guards against the same at an instance that starts just then: its first
+// listing is asked for before it hears of the higher revision.
+TEST_F(a_listing_that_comes_late, is_asked_for_again_if_the_source_went_back)
+{
+    this->source.revision = 5;
+    this->source.put(key_of(7));
+    const net::source_listing early = this->ask(this->second);
+    this->pass_on(this->first, this->second);
+    EXPECT_FALSE(this->second.apply_listing(early, start));
+    this->list(this->second);
+    EXPECT_TRUE(this->uses(this->second, 7));
+    // Once the source is past the revision of before, its changes count too.
+    this->source.revision = 40;
+    this->source.put(key_of(9));
+    this->watch(this->second);
+    EXPECT_TRUE(this->uses(this->second, 9));
+}
+
 // Guards against a listing that each instance asks for again without end while
 // changes with their removals are passed on.
 TEST_F(a_listing_that_comes_late, counts_when_only_changes_have_come_meanwhile)
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -566,3 +566,47 @@
     EXPECT_EQ(this->usable_servers(), 1U);
     EXPECT_EQ(this->published.counters().listings_outdated, 1U);
 }
+
+// Guards against an instance that never follows the store again after the store
+// has come back from an older copy: all that it lists then has lower revisions
+// than what the instance had.
+TEST_F(a_reader_of_the_store, follows_a_store_that_has_gone_back)
+{
+    this->store.put("op/config", config_text);
+    this->store.put("servers/i-1", server_text("ready"));
+    const std::uint64_t copied = this->store.revision();
+    for (unsigned sequence = 2; sequence < 12; ++sequence)
+    {
+        this->store.put("servers/i-1", server_text("ready", sequence));
+    }
+    this->start();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->reader->is_reachable();
+        }));
+    this->store.go_back(copied);
+    this->store.put("servers/i-2", server_text("ready"));
+    EXPECT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable_servers() == 2;
+        }));
+    // And when it is past the revision of before.
+    for (unsigned sequence = 2; sequence < 20; ++sequence)
+    {
+        this->store.put("servers/i-1", server_text("ready", sequence));
+    }
+    this->store.put("servers/i-3", server_text("ready"));
+    EXPECT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable_servers() == 3;
+        }));
+    this->store.remove("servers/i-2");
+    EXPECT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable_servers() == 2;
+        }));
+}
