--- a/tests/late_listing_test.cpp
+++ b/tests/late_listing_test.cpp
@@ -91,14 +91,20 @@
         this->instances[index]->wait();
     }
 
-    /// The server starts again under its name.
-    void start_again(std::size_t server)
+    /// The server starts again under its name, and all instances use it.
+    void expect_used_when_started_again(std::size_t server)
     {
         std::string item =
             make_server_item(this->servers[server - 1]->port(), 4);
         const std::string born = "1700000000000";
         item.replace(item.find(born), born.size(), "1700000009000");
-        this->store.put(fmt::format("servers/s-{}", server), item);
+        const std::string name = fmt::format("s-{}", server);
+        this->store.put("servers/" + name, item);
+        EXPECT_TRUE(eventually(
+            [this, &name]
+            {
+                return this->all_use(name);
+            }));
     }
 };
 
@@ -114,12 +120,7 @@
     this->await_listings(before + 2);
     this->store.remove("servers/s-1");
     this->expect_unused("s-1");
-    this->start_again(1);
-    EXPECT_TRUE(eventually(
-        [this]
-        {
-            return this->all_use("s-1");
-        }));
+    this->expect_used_when_started_again(1);
 }
 
 // Guards against the same when all instances start together, each with a late
@@ -182,10 +183,5 @@
     this->await_listings(before + 2);
     this->store.remove("servers/s-1");
     this->expect_unused("s-1");
-    this->start_again(1);
-    EXPECT_TRUE(eventually(
-        [this]
-        {
-            return this->all_use("s-1");
-        }));
+    this->expect_used_when_started_again(1);
 }
