Test instances whose store comes back from an older copy

Cause: users saw CONFIG, DENIED and DRAIN broken at once on both deployments; the first hypothesis is a drill of the store. Change: the stand-in store states its era, and can be copied and come back from the copy.

--- a/standin/store.cpp
+++ b/standin/store.cpp
@@ -33,6 +33,9 @@
 /// How often a waiting watch checks for changes.
 constexpr std::chrono::milliseconds watch_poll_interval{5};
 
+/// Header of all answers with the number of the era.
+constexpr const char* era_header = "Store-Era";
+
 /// A write or a removal of a key.
 struct change
 {
@@ -118,6 +121,8 @@
     bool has_changes(const std::string& prefix, std::uint64_t after);
     json changes_after(const std::string& prefix, std::uint64_t after);
     bool is_watchable(std::uint64_t after) const;
+    void go_back(std::uint64_t to_revision);
+    void add_era(http::response<http::string_body>& response) const;
 
     asio::io_context io{1};
     tcp::acceptor acceptor{io};
@@ -128,6 +133,8 @@
     /// Oldest revision that a watch may start at.
     std::uint64_t first_watchable_revision = 0;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
+    std::uint64_t copied_revision = 1; ///< of the last copy
     store_faults faults;
     store_counts counts;
 };
@@ -172,6 +179,43 @@
     return after >= this->first_watchable_revision && after <= this->revision;
 }
 
+// Keeps the content as it was at the revision. The caller holds the mutex.
+void store::state::go_back(std::uint64_t to_revision)
+{
+    std::erase_if(this->history,
+                  [to_revision](const change& written)
+                  {
+                      return written.revision > to_revision;
+                  });
+    this->items.clear();
+    for (const change& written : this->history)
+    {
+        if (written.removed)
+        {
+            this->items.erase(written.key);
+        }
+        else
+        {
+            this->items[written.key] = written;
+        }
+    }
+    this->revision = to_revision;
+}
+
+void store::state::add_era(http::response<http::string_body>& response) const
+{
+    const std::lock_guard guard(this->mutex);
+    if (!this->faults.era_headers)
+    {
+        response.set(era_header, std::to_string(this->era));
+        return;
+    }
+    for (const std::string& value : *this->faults.era_headers)
+    {
+        response.insert(era_header, value);
+    }
+}
+
 bool store::state::has_changes(const std::string& prefix, std::uint64_t after)
 {
     const std::lock_guard guard(this->mutex);
@@ -268,6 +312,7 @@
         }
         http::response<http::string_body> response =
             co_await this->respond(std::string(request.target()));
+        this->add_era(response);
         store_faults current_faults;
         {
             const std::lock_guard guard(this->mutex);
@@ -370,24 +415,20 @@
 void store::go_back(std::uint64_t to_revision)
 {
     const std::lock_guard guard(this->self->mutex);
-    std::erase_if(this->self->history,
-                  [to_revision](const change& written)
-                  {
-                      return written.revision > to_revision;
-                  });
-    this->self->items.clear();
-    for (const change& written : this->self->history)
-    {
-        if (written.removed)
-        {
-            this->self->items.erase(written.key);
-        }
-        else
-        {
-            this->self->items[written.key] = written;
-        }
-    }
-    this->self->revision = to_revision;
+    this->self->go_back(to_revision);
+}
+
+void store::make_copy()
+{
+    const std::lock_guard guard(this->self->mutex);
+    this->self->copied_revision = this->self->revision;
+}
+
+void store::restore_copy()
+{
+    const std::lock_guard guard(this->self->mutex);
+    this->self->go_back(this->self->copied_revision);
+    ++this->self->era;
 }
 
 std::uint64_t store::revision() const
@@ -396,6 +437,12 @@
     return this->self->revision;
 }
 
+std::uint64_t store::era() const
+{
+    const std::lock_guard guard(this->self->mutex);
+    return this->self->era;
+}
+
 void store::set_faults(const store_faults& faults)
 {
     const std::lock_guard guard(this->self->mutex);
--- a/standin/store.hpp
+++ b/standin/store.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace medlarbarrow::standin
 {
@@ -28,6 +29,8 @@
     std::chrono::milliseconds lateness{0};
     /// Closes the connection after so many bytes of an answer.
     std::optional<std::size_t> cut;
+    /// Values of the era header, one header for each, in place of the true one.
+    std::optional<std::vector<std::string>> era_headers;
 };
 
 /// Requests received.
@@ -60,9 +63,21 @@
     /// revision that does not exist any more get status 410.
     void go_back(std::uint64_t to_revision);
 
+    /// Copies the content for restore_copy().
+    void make_copy();
+
+    /// Comes back from the last copy, as a new era: what was written since then
+    /// is gone, and its revisions are given out again. All answers tell the era
+    /// from the first one on. Watches that wait are ended with status 410 if
+    /// they started at a revision that does not exist any more.
+    void restore_copy();
+
     /// Revision of the last change.
     std::uint64_t revision() const;
 
+    /// Number of the era, from 1 on.
+    std::uint64_t era() const;
+
     void set_faults(const store_faults& faults);
     store_counts counts() const;
 
