--- a/medlarbarrow/net/http_connection.cpp
+++ b/medlarbarrow/net/http_connection.cpp
@@ -112,7 +112,8 @@
     {
         this->close();
     }
-    return {message.result_int(), std::move(message.body())};
+    return {message.result_int(), std::move(message.body()),
+            std::move(message.base())};
 }
 
 void http_connection::cancel()
--- a/medlarbarrow/net/http_connection.hpp
+++ b/medlarbarrow/net/http_connection.hpp
@@ -17,11 +17,12 @@
 namespace medlarbarrow::net
 {
 
-/// Status and body of an HTTP answer.
+/// Status, body and header fields of an HTTP answer.
 struct http_answer
 {
     unsigned status = 0;
     std::string body;
+    boost::beast::http::fields fields{};
 };
 
 /// Sends GET requests, one at a time, and opens the connection when needed.
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -148,6 +148,13 @@
         (item.revision == stored.revision && stored.revision != 0 &&
          !this->server_names.contains(item.key)))
     {
+        if (item.value != stored.value)
+        {
+            log::write(log::level::info, "item_passed_over",
+                       {log::kv("key", item.key),
+                        log::kv("revision", item.revision),
+                        log::kv("held", stored.revision)});
+        }
         return false;
     }
     const bool same_revision = item.revision == stored.revision;
