--- a/bench/fleet_slopes_main.cpp
+++ b/bench/fleet_slopes_main.cpp
@@ -35,7 +35,7 @@
 {
     core::gossip message;
     message.incarnation = 1'700'000'000'000;
-    message.revision = 5000;
+    message.position = 5000;
     message.members = view.make_reports(entries, start + 500ms);
     return message;
 }
--- a/medlarbarrow/config/commands.cpp
+++ b/medlarbarrow/config/commands.cpp
@@ -540,7 +540,7 @@
     const ordered_json body = read_single_status(call);
     return call.print_result(
         select_members(body, {"name", "incarnation", "document_version",
-                              "list_version", "ready"}),
+                              "list_version", "list_era", "ready"}),
         is_ready(body));
 }
 
@@ -555,10 +555,10 @@
     {
         const ordered_json body = read_status(call, address);
         ordered_json row{{"from", address}};
-        row.update(select_members(body, {"name", "incarnation", "version",
-                                         "ready", "document_version",
-                                         "list_version", "live_instances",
-                                         "home_buckets", "majority_buckets"}));
+        row.update(select_members(
+            body, {"name", "incarnation", "version", "ready",
+                   "document_version", "list_version", "list_era",
+                   "live_instances", "home_buckets", "majority_buckets"}));
         all_agree =
             all_agree && is_ready(body) &&
             (rows.empty() || rows.front().value("document_version", json()) ==
--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -7,6 +7,7 @@
 #include <medlarbarrow/core/quota.hpp>
 #include <medlarbarrow/core/server_notice.hpp>
 #include <medlarbarrow/core/shards.hpp>
+#include <medlarbarrow/core/source_position.hpp>
 #include <variant>
 
 namespace medlarbarrow::core
@@ -16,12 +17,14 @@
 struct gossip
 {
     std::uint64_t incarnation = 0;
-    std::uint64_t revision = 0; ///< newest published revision the sender has
+    source_position position; ///< newest one that the sender has
     bool wants_reply = false;
     bool leaving = false;
     std::vector<member_report> members;
     /// Runs of servers that have lately become known to leave.
     std::vector<leaving_run> leaving_runs;
+    /// Digest of what the sender carries over from earlier eras of the source.
+    std::uint64_t carried_digest = 0;
 };
 
 /// Asks the owner of an account to admit one request under the account's limit.
@@ -100,9 +103,9 @@
 /// and after each change.
 struct source_update
 {
-    std::uint64_t revision = 0;
+    source_position position;
     std::chrono::milliseconds age{}; ///< time since the source confirmed it
-    std::uint64_t base_revision = 0; ///< revision after which `changes` start
+    source_position base;            ///< position after which `changes` start
     std::string changes;             ///< as text; empty when they are too large
 };
 
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -136,6 +136,8 @@
 {
     std::uint64_t document_version = 0;
     std::uint64_t list_version = 0;
+    /// Era of the source in which the version counts; 0 if it states none.
+    std::uint64_t list_era = 0;
     bool ready = false;
     std::size_t live_instances = 0;
     std::size_t owned_buckets = 0;    ///< with at least one delegation held
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -142,7 +142,7 @@
                     const core::source_update& message);
 
     void source_update_round();
-    void send_source_updates(std::uint64_t since);
+    void send_source_updates(const core::source_position& since);
 
     void record_leaving(const core::leaving_run& run, leaving_source from);
 
@@ -165,8 +165,8 @@
     core::time_point started = now();
     core::membership members;
     core::reader_selection source_readers;
-    /// Revision of the newest source update that was sent.
-    std::uint64_t announced_revision = 0;
+    /// Of the newest source update that was sent.
+    core::source_position announced_position;
     unsigned source_update_rounds = 0;
     udp::socket socket;
     udp::endpoint sender_endpoint;
@@ -265,7 +265,8 @@
 {
     core::gossip message;
     message.incarnation = this->settings.incarnation;
-    message.revision = this->callbacks.revision();
+    message.position = this->callbacks.position();
+    message.carried_digest = this->callbacks.carried_digest();
     message.wants_reply = wants_reply;
     message.leaving = this->leaving;
     message.members = this->members.make_reports(report_count, now());
@@ -362,10 +363,15 @@
     {
         this->crashes.gossip_to(sender);
     }
-    if (message.revision > this->callbacks.revision())
-    {
-        this->callbacks.on_newer_revision(
-            asio::ip::address_v4(sender).to_string(), message.revision);
+    const core::source_position known = this->callbacks.position();
+    const bool carries_other_items =
+        message.position.era == known.era && message.position >= known &&
+        message.carried_digest != 0 &&
+        message.carried_digest != this->callbacks.carried_digest();
+    if (message.position > known || carries_other_items)
+    {
+        this->callbacks.on_news_at_peer(
+            asio::ip::address_v4(sender).to_string(), message.position);
     }
 }
 
@@ -398,16 +404,21 @@
 void fleet::state::on_message(core::instance_address sender,
                               const core::source_update& message)
 {
-    if (message.revision > this->callbacks.revision() &&
-        !message.changes.empty() &&
-        message.base_revision <= this->callbacks.revision())
+    if (message.position > this->callbacks.position() &&
+        !message.changes.empty() && message.base <= this->callbacks.position())
     {
         this->callbacks.on_changes(message.changes);
     }
-    if (message.revision > this->callbacks.revision())
+    const core::source_position known = this->callbacks.position();
+    if (message.position > known)
+    {
+        this->callbacks.on_news_at_peer(
+            asio::ip::address_v4(sender).to_string(), message.position);
+        return;
+    }
+    // What the source said in an earlier era confirms nothing.
+    if (message.position.era < known.era)
     {
-        this->callbacks.on_newer_revision(
-            asio::ip::address_v4(sender).to_string(), message.revision);
         return;
     }
     // The state known here is at least as new as the one that the source
@@ -419,9 +430,9 @@
     }
 }
 
-// Sends the changes after revision `since` to the subscribers. Does nothing
+// Sends the changes after the position `since` to the subscribers. Does nothing
 // before the first confirmation.
-void fleet::state::send_source_updates(std::uint64_t since)
+void fleet::state::send_source_updates(const core::source_position& since)
 {
     const auto age = this->source_readers.confirmation_age(now());
     if (!age)
@@ -429,10 +440,10 @@
         return;
     }
     core::source_update message;
-    message.revision = this->callbacks.revision();
+    message.position = this->callbacks.position();
     message.age = std::chrono::ceil<milliseconds>(*age);
-    message.base_revision = since;
-    if (since < message.revision)
+    message.base = since;
+    if (since < message.position)
     {
         message.changes = this->callbacks.changes_since(since);
         if (message.changes.size() > max_changes_bytes)
@@ -445,7 +456,7 @@
     {
         this->send(recipient, message);
     }
-    this->announced_revision = message.revision;
+    this->announced_position = message.position;
 }
 
 // Selects the readers, renews the subscriptions and sends source updates.
@@ -460,7 +471,7 @@
             this->send(reader, core::subscribe{this->settings.incarnation});
         }
     }
-    this->send_source_updates(this->callbacks.revision());
+    this->send_source_updates(this->callbacks.position());
     this->callbacks.set_reading_enabled(this->source_readers.must_read(now()));
     run_after(
         this->source_update_timer,
@@ -682,7 +693,7 @@
 void fleet::announce_revision()
 {
     state& impl = *this->self;
-    impl.send_source_updates(impl.announced_revision);
+    impl.send_source_updates(impl.announced_position);
     for (unsigned index = 0; index < announcement_peers; ++index)
     {
         if (const auto peer = impl.members.random_peer(now()))
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -35,13 +35,18 @@
     /// unknown.
     std::function<std::optional<core::quota_limit>(const std::string&)>
         account_limit;
-    /// Newest published revision that this instance has.
-    std::function<std::uint64_t()> revision;
-    /// Called when another instance has a newer revision.
-    std::function<void(const std::string& address, std::uint64_t revision)>
-        on_newer_revision;
-    /// Returns the published changes after a revision as text.
-    std::function<std::string(std::uint64_t since)> changes_since;
+    /// Newest position in the source that this instance has.
+    std::function<core::source_position()> position;
+    /// Digest of what this instance carries over from earlier eras.
+    std::function<std::uint64_t()> carried_digest;
+    /// Called when another instance may know something that this one does not:
+    /// it has a newer position, or carries over something else.
+    std::function<void(const std::string& address,
+                       const core::source_position& position)>
+        on_news_at_peer;
+    /// Returns the published changes after a position as text.
+    std::function<std::string(const core::source_position& since)>
+        changes_since;
     /// Applies the text that changes_since() of another instance returned.
     std::function<void(const std::string& changes)> on_changes;
     /// Called when another instance has just had an answer from the source.
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -105,11 +105,12 @@
     }
     json elements = header(message_kind::gossip);
     elements.push_back(message.incarnation);
-    elements.push_back(message.revision);
+    elements.push_back(message.position.revision);
     elements.push_back(message.wants_reply);
     elements.push_back(message.leaving);
     elements.push_back(std::move(members));
-    if (!message.leaving_runs.empty())
+    const bool has_era = message.position.era != 0;
+    if (!message.leaving_runs.empty() || has_era)
     {
         json runs = json::array();
         for (const core::leaving_run& run : message.leaving_runs)
@@ -119,6 +120,11 @@
         }
         elements.push_back(std::move(runs));
     }
+    if (has_era)
+    {
+        elements.push_back(message.position.era);
+        elements.push_back(message.carried_digest);
+    }
     return elements;
 }
 
@@ -264,18 +270,37 @@
 json encode(const core::source_update& message)
 {
     json elements = header(message_kind::source_update);
-    elements.push_back(message.revision);
+    elements.push_back(message.position.revision);
     elements.push_back(message.age.count());
-    elements.push_back(message.base_revision);
+    elements.push_back(message.base.revision);
     elements.push_back(message.changes);
+    if (message.position.era != 0)
+    {
+        elements.push_back(message.position.era);
+        elements.push_back(message.base.era);
+    }
     return elements;
 }
 
+core::source_update decode_source_update(const json& elements)
+{
+    core::source_update message;
+    message.position = {optional_unsigned(elements, 5),
+                        elements.at(1).get<std::uint64_t>()};
+    message.age = milliseconds(elements.at(2).get<std::uint32_t>());
+    message.base = {optional_unsigned(elements, 6),
+                    elements.at(3).get<std::uint64_t>()};
+    message.changes = elements.at(4).get<std::string>();
+    return message;
+}
+
 core::gossip decode_gossip(const json& elements)
 {
     core::gossip message;
     message.incarnation = elements.at(1).get<std::uint64_t>();
-    message.revision = elements.at(2).get<std::uint64_t>();
+    message.position = {optional_unsigned(elements, 7),
+                        elements.at(2).get<std::uint64_t>()};
+    message.carried_digest = optional_unsigned(elements, 8);
     message.wants_reply = elements.at(3).get<bool>();
     message.leaving = elements.at(4).get<bool>();
     const json& members = elements.at(5);
@@ -434,11 +459,7 @@
     case message_kind::subscribe:
         return core::subscribe{elements.at(1).get<std::uint64_t>()};
     case message_kind::source_update:
-        return core::source_update{
-            elements.at(1).get<std::uint64_t>(),
-            milliseconds(elements.at(2).get<std::uint32_t>()),
-            elements.at(3).get<std::uint64_t>(),
-            elements.at(4).get<std::string>()};
+        return decode_source_update(elements);
     }
     throw std::out_of_range("kind");
 }
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -1,5 +1,4 @@
 #include <boost/asio/signal_set.hpp>
-#include <charconv>
 #include <csignal>
 #include <medlarbarrow/net/admin.hpp>
 #include <medlarbarrow/net/compression.hpp>
@@ -38,6 +37,9 @@
 constexpr milliseconds first_catch_up_delay{400};
 /// Timeout of the request to the peer.
 constexpr milliseconds catch_up_timeout{500};
+/// Shortest time between two requests for what peers carry over from earlier
+/// eras of the source.
+constexpr milliseconds carried_items_interval{500};
 constexpr std::size_t max_published_bytes = 16U << 20U;
 /// Answered with compressed changes.
 constexpr std::string_view published_path = "/published-zlib?since=";
@@ -79,8 +81,12 @@
     std::error_code open_gateway();
     std::error_code open_admin();
     void on_published();
-    void on_newer(const std::string& address, std::uint64_t revision);
-    void catch_up(const std::string& address, std::uint64_t revision);
+    void on_news_at_peer(const std::string& address,
+                         const core::source_position& position);
+    void catch_up(const std::string& address,
+                  const core::source_position& position);
+    void ask_for_carried_items(const std::string& address);
+    void fetch_changes(const std::string& address);
     void apply_peer_changes(std::string_view text);
     std::optional<std::string> answer_peer(std::string_view target) const;
     void watch_signals();
@@ -114,6 +120,7 @@
     asio::steady_timer running_timer;
     asio::steady_timer kill_timer;
     bool catching_up = false;
+    core::time_point carried_items_asked_at{};
     bool stopping = false;
     bool all_requests_ended = false;
 };
@@ -141,36 +148,61 @@
     }
 }
 
-// Called when a peer has a newer revision. A source update or the instance's
-// own read of the source usually brings it within catch_up_delay; otherwise the
-// peer is asked for it.
-void fleet_instance::state::on_newer(const std::string& address,
-                                     std::uint64_t revision)
+// Called when a peer has a newer position, or carries over something else from
+// an earlier era of the source. A source update or the instance's own read of
+// the source usually brings newer changes within catch_up_delay; otherwise the
+// peer is asked for them.
+void fleet_instance::state::on_news_at_peer(
+    const std::string& address, const core::source_position& position)
 {
     if (this->catching_up)
     {
         return;
     }
+    if (position <= this->published_data.position())
+    {
+        this->ask_for_carried_items(address);
+        return;
+    }
     this->catching_up = true;
     const milliseconds delay = this->published_data.revision() == 0
                                    ? first_catch_up_delay
                                    : catch_up_delay;
     run_after(this->catch_up_timer, delay,
-              [this, address, revision]
+              [this, address, position]
               {
-                  this->catch_up(address, revision);
+                  this->catch_up(address, position);
               });
 }
 
-// Fetches the changes from a peer over HTTP, unless they have arrived by now.
+// Instances that differ ask each other until they agree.
+void fleet_instance::state::ask_for_carried_items(const std::string& address)
+{
+    const core::time_point now = core::boot_clock::now();
+    if (now - this->carried_items_asked_at < carried_items_interval)
+    {
+        return;
+    }
+    this->carried_items_asked_at = now;
+    this->catching_up = true;
+    this->fetch_changes(address);
+}
+
+// Fetches the changes from a peer unless they have arrived by now.
 void fleet_instance::state::catch_up(const std::string& address,
-                                     std::uint64_t revision)
+                                     const core::source_position& position)
 {
-    if (this->published_data.revision() >= revision)
+    if (this->published_data.position() >= position)
     {
         this->catching_up = false;
         return;
     }
+    this->fetch_changes(address);
+}
+
+// Fetches the changes, and what is carried over, from a peer over HTTP.
+void fleet_instance::state::fetch_changes(const std::string& address)
+{
     error_code failure;
     const auto peer_address = asio::ip::make_address(address, failure);
     if (failure)
@@ -183,7 +215,9 @@
         asio::ip::tcp::endpoint(peer_address, this->settings.peers.port),
         address);
     this->catch_up_connection->get(
-        fmt::format("{}{}", published_path, this->published_data.revision()),
+        fmt::format(
+            "{}{}", published_path,
+            core::format_position(this->published_data.position_to_ask())),
         catch_up_timeout, max_published_bytes,
         [this, address](const core::result<http_answer>& answer)
         {
@@ -195,15 +229,17 @@
             {
                 this->apply_peer_changes(*changes);
             }
-            log::write(log::level::info, "caught_up",
-                       {log::kv("peer", address),
-                        log::kv("reached", answer.has_value()),
-                        log::kv("readable", changes.has_value()),
-                        log::kv("revision", this->published_data.revision())});
+            log::write(
+                log::level::info, "caught_up",
+                {log::kv("peer", address),
+                 log::kv("reached", answer.has_value()),
+                 log::kv("readable", changes.has_value()),
+                 log::kv("revision", core::format_position(
+                                         this->published_data.position()))});
         });
 }
 
-// Returns the changes after the revision in the target; empty if the target is
+// Returns the changes after the position in the target; empty if the target is
 // not a request for changes.
 std::optional<std::string>
 fleet_instance::state::answer_peer(std::string_view target) const
@@ -212,15 +248,13 @@
     {
         return std::nullopt;
     }
-    const std::string_view text = target.substr(published_path.size());
-    std::uint64_t since = 0;
-    const char* text_end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), text_end, since);
-    if (parsed.ec != std::errc() || parsed.ptr != text_end)
+    const auto since =
+        core::parse_position(target.substr(published_path.size()));
+    if (!since)
     {
         return std::nullopt;
     }
-    return compress(this->published_data.text_since(since));
+    return compress(this->published_data.text_since(*since));
 }
 
 std::error_code fleet_instance::state::open_fleet()
@@ -239,16 +273,20 @@
     {
         return this->caller_gateway->account_limit(account);
     };
-    callbacks.revision = [this]
+    callbacks.position = [this]
+    {
+        return this->published_data.position();
+    };
+    callbacks.carried_digest = [this]
     {
-        return this->published_data.revision();
+        return this->published_data.carried_digest();
     };
-    callbacks.on_newer_revision =
-        [this](const std::string& address, std::uint64_t revision)
+    callbacks.on_news_at_peer = [this](const std::string& address,
+                                       const core::source_position& position)
     {
-        this->on_newer(address, revision);
+        this->on_news_at_peer(address, position);
     };
-    callbacks.changes_since = [this](std::uint64_t since)
+    callbacks.changes_since = [this](const core::source_position& since)
     {
         return this->published_data.text_since(since);
     };
@@ -402,6 +440,7 @@
         view.document_version = this->published_data.document()->version;
     }
     view.list_version = this->published_data.revision();
+    view.list_era = this->published_data.position().era;
     view.ready = this->is_ready();
     view.live_instances = this->fleet_peers->live_count();
     view.running_requests = this->caller_gateway->running_requests();
@@ -471,6 +510,7 @@
                 published_counts.items_outdated);
     add_counter("published_listings_outdated_total",
                 published_counts.listings_outdated);
+    add_counter("source_eras_begun_total", published_counts.eras_begun);
     add_counter("document_problems_total", published_counts.document_problems);
     return text;
 }
--- a/medlarbarrow/net/metrics.cpp
+++ b/medlarbarrow/net/metrics.cpp
@@ -164,6 +164,10 @@
         gauge(registry,
               "medlar_instance_list_version",
               "Version of the instance list in force.");
+    prometheus::Gauge& list_era =
+        gauge(registry,
+              "medlar_instance_list_era",
+              "Era of the source in which the list version counts.");
     prometheus::Gauge& ready = gauge(
         registry, "medlar_ready", "1 if the instance is ready, otherwise 0.");
     prometheus::Gauge& live_instances =
@@ -260,6 +264,7 @@
     };
     set(impl.document_version, view.document_version);
     set(impl.list_version, view.list_version);
+    set(impl.list_era, view.list_era);
     set(impl.ready, view.ready ? 1 : 0);
     set(impl.live_instances, view.live_instances);
     set(impl.majority_buckets, view.majority_buckets);
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -13,6 +13,28 @@
 /// further gets a complete listing.
 constexpr std::size_t max_removals = 256;
 
+core::content_version version_of(const parsed_item& meaning)
+{
+    if (const auto* parsed = std::get_if<parsed_document>(&meaning))
+    {
+        return {parsed->document->version, 0};
+    }
+    if (const auto* server = std::get_if<core::announced_server>(&meaning))
+    {
+        return {server->started, server->sequence};
+    }
+    return {};
+}
+
+void log_passed_over(const published_item& item,
+                     const core::source_position& held)
+{
+    log::write(log::level::info, "item_passed_over",
+               {log::kv("key", item.key),
+                log::kv("revision", core::format_position(item.position)),
+                log::kv("held", core::format_position(held))});
+}
+
 } // namespace
 
 published::published(item_reader reader, std::function<void()> on_change)
@@ -58,11 +80,12 @@
     }
 }
 
-// Parses an item and applies its document or server. A server that the item
-// announced before is removed, unless the item announces it again.
-void published::apply_item(const published_item& item, core::time_point now)
+// Applies the document or server of an item. A server that the item announced
+// before is removed, unless the item announces it again.
+void published::apply_item(const published_item& item,
+                           parsed_item meaning,
+                           core::time_point now)
 {
-    parsed_item meaning = this->read_item(item, now);
     if (auto* document = std::get_if<parsed_document>(&meaning))
     {
         this->apply_document(std::move(*document));
@@ -73,7 +96,7 @@
         ++this->counts.items_unreadable;
         log::write(log::level::warning, "item_unreadable",
                    {log::kv("key", item.key),
-                    log::kv("revision", item.revision),
+                    log::kv("revision", core::format_position(item.position)),
                     log::kv("reason", unreadable->reason)});
     }
     const auto* server = std::get_if<core::announced_server>(&meaning);
@@ -105,71 +128,108 @@
                    leaving ? "server_leaving" : "server_announced",
                    {log::kv("server", server->server.name),
                     log::kv("service", server->service),
-                    log::kv("revision", item.revision)});
+                    log::kv("revision", core::format_position(item.position))});
     }
 }
 
-// Whether items may have been removed after the revision without becoming known
+// Whether items may have been removed after the position without becoming known
 // here.
-bool published::may_lack_removal_after(std::uint64_t revision) const
+bool published::may_lack_removal_after(
+    const core::source_position& position) const
+{
+    return position < this->removals_since || this->gap.contains(position);
+}
+
+// Whether the source has come back from a copy since what is known here.
+bool published::is_later_era(
+    const core::source_position& position) const noexcept
 {
-    return revision < this->removals_since || this->gap.contains(revision);
+    return this->current.revision > 0 && position.era > this->current.era;
 }
 
-// Whether the item has been removed after its revision, as far as removals are
-// kept. `as_of` is the revision at which its sender had it.
+// Whether the item has been removed after it was written, as far as removals
+// are kept. `as_of` is the position at which its sender had it.
 bool published::is_removed(const published_item& item,
-                           std::uint64_t as_of) const
+                           const core::item_state& state,
+                           const core::source_position& as_of)
 {
     const auto found = this->removals.find(item.key);
     if (found == this->removals.end())
     {
         return false;
     }
-    const removal& removed = found->second;
-    return removed.revision > item.revision &&
-           (!removed.inferred || removed.revision > as_of);
+    removal& removed = found->second;
+    const core::source_position& removed_at = removed.state.position;
+    if (removed_at.era == state.position.era)
+    {
+        return removed_at > state.position &&
+               (!removed.inferred || removed_at > as_of);
+    }
+    if (!core::is_ended_by(state, removed.state))
+    {
+        return false;
+    }
+    if (removed_at.era > state.position.era)
+    {
+        return true;
+    }
+    // An instance that lacked the item may have been wrong about this version
+    // of it, but an earlier one is out of date in any case.
+    removed.is_carried =
+        !removed.inferred || state.version < removed.state.version;
+    return removed.is_carried;
 }
 
-// Stores and applies an item; true if its revision is new. An item of the
-// stored revision is applied again only if it announces a server. A listing may
-// be older than a removal that has come from another instance.
+// Stores and applies an item; true if its position is new. Within an era, an
+// item of the stored revision is applied again only if it announces a server. A
+// listing may be older than a removal that has come from another instance.
 bool published::store(const published_item& item,
-                      std::uint64_t as_of,
+                      const core::source_position& as_of,
                       core::time_point now)
 {
-    if (!this->items.contains(item.key) && this->is_removed(item, as_of))
+    const auto held = this->items.find(item.key);
+    const bool is_held = held != this->items.end();
+    const core::source_position held_at =
+        is_held ? held->second.state.position : core::source_position();
+    const bool same_position = is_held && item.position == held_at;
+    const bool is_older =
+        item.position.era == held_at.era &&
+        (item.position < held_at ||
+         (same_position && !this->server_names.contains(item.key)));
+    if (is_held && is_older)
+    {
+        if (item.value != held->second.value)
+        {
+            log_passed_over(item, held_at);
+        }
+        return false;
+    }
+    parsed_item meaning = this->read_item(item, now);
+    const core::item_state state{item.position, version_of(meaning)};
+    if (!is_held && this->is_removed(item, state, as_of))
     {
         ++this->counts.items_outdated;
         return false;
     }
-    stored_item& stored = this->items[item.key];
-    if (item.revision < stored.revision ||
-        (item.revision == stored.revision && stored.revision != 0 &&
-         !this->server_names.contains(item.key)))
+    if (is_held && !same_position && !core::is_newer(state, held->second.state))
     {
-        if (item.value != stored.value)
-        {
-            log::write(log::level::info, "item_passed_over",
-                       {log::kv("key", item.key),
-                        log::kv("revision", item.revision),
-                        log::kv("held", stored.revision)});
-        }
+        log_passed_over(item, held_at);
         return false;
     }
-    const bool same_revision = item.revision == stored.revision;
-    stored = {item.value, item.revision};
+    this->items[item.key] = {item.value, state,
+                             std::holds_alternative<parsed_document>(meaning)};
     this->removals.erase(item.key);
     this->lapsing_servers.erase(item.key);
-    this->apply_item(item, now);
-    return !same_revision;
+    this->apply_item(item, std::move(meaning), now);
+    return !same_position;
 }
 
-void published::raise_revision(std::uint64_t revision, core::time_point now)
+void published::raise_position(const core::source_position& position,
+                               core::time_point now)
 {
-    if (revision > this->current_revision)
+    if (position > this->current)
     {
-        this->current_revision = revision;
+        this->current = position;
         this->raised_at = now;
     }
 }
@@ -178,10 +238,13 @@
 void published::record_removal(const std::string& key, const removal& removed)
 {
     removal& last = this->removals[key];
-    if (removed.revision >= last.revision)
+    const core::content_version version =
+        std::max(last.state.version, removed.state.version);
+    if (removed.state.position >= last.state.position)
     {
         last = removed;
     }
+    last.state.version = version;
     if (this->removals.size() <= max_removals)
     {
         return;
@@ -190,10 +253,10 @@
         this->removals.begin(), this->removals.end(),
         [](const auto& left, const auto& right)
         {
-            return left.second.revision < right.second.revision;
+            return left.second.state.position < right.second.state.position;
         });
     this->removals_since =
-        std::max(this->removals_since, oldest->second.revision);
+        std::max(this->removals_since, oldest->second.state.position);
     this->removals.erase(oldest);
 }
 
@@ -206,15 +269,19 @@
                        core::time_point now)
 {
     const auto it = this->items.find(key);
-    if (it != this->items.end() && it->second.revision > removed.revision)
+    if (it == this->items.end())
     {
+        this->record_removal(key, removed);
         return false;
     }
-    this->record_removal(key, removed);
-    if (it == this->items.end())
+    if (!core::is_ended_by(it->second.state, removed.state))
     {
         return false;
     }
+    removal recorded = removed;
+    recorded.state.version =
+        std::max(removed.state.version, it->second.state.version);
+    this->record_removal(key, recorded);
     this->items.erase(it);
     const auto server = this->server_names.find(key);
     if (server != this->server_names.end())
@@ -224,7 +291,8 @@
                    {log::kv("server", server->second),
                     log::kv("lapsed", lapsed),
                     log::kv("inferred", removed.inferred),
-                    log::kv("revision", removed.revision)});
+                    log::kv("revision",
+                            core::format_position(removed.state.position))});
         this->registry.remove(server->second, kind, now);
         if (lapsed)
         {
@@ -253,10 +321,16 @@
                   });
 }
 
-// What was written and removed between the revisions is not known.
-void published::add_gap(std::uint64_t from, std::uint64_t to)
+// What was written and removed between the positions is not known. In a new era
+// nothing is known before the first list.
+void published::add_gap(core::source_position from,
+                        const core::source_position& to)
 {
-    if (from + 1 >= to)
+    if (from.era != to.era)
+    {
+        from = {to.era, 0};
+    }
+    if (from.revision + 1 >= to.revision)
     {
         return;
     }
@@ -264,34 +338,52 @@
     this->gap = {from, to};
 }
 
-// Makes the items those of a list of the revision `missing.revision`. Newer
-// ones stay: they may have come from another instance. True if an item changed.
+void published::log_new_era(const core::source_position& position)
+{
+    ++this->counts.eras_begun;
+    log::write(log::level::warning, "source_came_back_older",
+               {log::kv("known", core::format_position(this->current)),
+                log::kv("listed", core::format_position(position))});
+}
+
+// Makes the items those of a list of the position of `missing`. Newer ones
+// stay: they may have come from another instance, or be from an earlier era and
+// not in the copy that the source has come back from. True if an item changed.
 bool published::replace_items(const std::vector<published_item>& listed,
+                              const std::set<std::string>& listed_keys,
                               const removal& missing,
                               const missing_kind& kind_of,
                               core::time_point now)
 {
     this->end_lapses();
-    std::set<std::string> listed_keys;
+    const core::source_position& position = missing.state.position;
+    if (this->is_later_era(position))
+    {
+        this->log_new_era(position);
+    }
     bool has_changes = false;
     // One line instead of one for each server: all instances list all servers.
-    this->in_first_listing = this->current_revision == 0;
+    this->in_first_listing = this->current.revision == 0;
     for (const published_item& item : listed)
     {
-        listed_keys.insert(item.key);
-        has_changes |= this->store(item, missing.revision, now);
+        has_changes |= this->store(item, position, now);
     }
     if (this->in_first_listing)
     {
         log::write(log::level::info, "servers_listed",
                    {log::kv("servers", this->registry.all().size()),
-                    log::kv("revision", missing.revision)});
+                    log::kv("revision", core::format_position(position))});
         this->in_first_listing = false;
     }
     std::vector<std::string> missing_keys;
     for (const auto& [key, stored] : this->items)
     {
-        if (!listed_keys.contains(key) && stored.revision <= missing.revision)
+        const core::source_position& stored_at = stored.state.position;
+        // A document stays in force until the next one, even if the source has
+        // come back from a copy without any.
+        const bool stays = stored_at > position ||
+                           (stored.is_document && stored_at.era < position.era);
+        if (!listed_keys.contains(key) && !stays)
         {
             missing_keys.push_back(key);
         }
@@ -300,8 +392,9 @@
     {
         has_changes |= this->remove(key, missing, kind_of(key), now);
     }
-    this->add_gap(this->current_revision, missing.revision);
-    this->raise_revision(missing.revision, now);
+    this->end_carried_removals(listed_keys, missing);
+    this->add_gap(this->current, position);
+    this->raise_position(position, now);
     return has_changes;
 }
 
@@ -311,32 +404,44 @@
     // The source answers with its state at the time of the call or a later one.
     // If it had less than was known before the call, it has gone back to an
     // older state, and what it lists now is not outdated.
-    const bool has_gone_back = listing.revision < listing.known_before;
-    if (!has_gone_back && this->may_lack_removal_after(listing.revision))
+    const core::source_position& position = listing.position;
+    const bool has_gone_back = position.era == listing.known_before.era &&
+                               position < listing.known_before;
+    const bool is_earlier_era = position.era < this->current.era;
+    const bool is_later_era = this->is_later_era(position);
+    if (is_earlier_era ||
+        (!has_gone_back && this->may_lack_removal_after(position)))
     {
         ++this->counts.listings_outdated;
         log::write(log::level::info, "listing_outdated",
-                   {log::kv("revision", listing.revision),
-                    log::kv("known_before", listing.known_before),
-                    log::kv("known", this->current_revision)});
+                   {log::kv("revision", core::format_position(position)),
+                    log::kv("known_before",
+                            core::format_position(listing.known_before)),
+                    log::kv("known", core::format_position(this->current))});
         return false;
     }
-    const auto kind_of = [&listing](const std::string&)
+    std::set<std::string> listed_keys;
+    for (const published_item& item : listing.items)
     {
-        return listing.missing;
+        listed_keys.insert(item.key);
+    }
+    // A server that the copy has not got may announce itself again.
+    const auto kind_of = [&listing, is_later_era](const std::string&)
+    {
+        return is_later_era ? core::removal_kind::lapsed : listing.missing;
     };
-    if (this->replace_items(listing.items, {listing.revision, false}, kind_of,
-                            now))
+    if (this->replace_items(listing.items, listed_keys, {{position, {}}},
+                            kind_of, now))
     {
         this->notify_change();
     }
     return true;
 }
 
-// Applies changes up to the revision. Outdated ones bring no item that is not
-// held.
+// Applies changes up to the position `last`. Outdated ones bring no item that
+// is not held.
 bool published::apply_each(const std::vector<published_item>& changes,
-                           std::uint64_t revision,
+                           const core::source_position& last,
                            bool outdated,
                            core::time_point now)
 {
@@ -347,7 +452,8 @@
         if (item.removed)
         {
             has_changes |= this->remove(
-                item.key, {item.revision, item.inferred}, item.removal, now);
+                item.key, {{item.position, item.version}, item.inferred},
+                item.removal, now);
         }
         else if (outdated && !this->items.contains(item.key))
         {
@@ -355,40 +461,49 @@
         }
         else
         {
-            has_changes |= this->store(item, revision, now);
+            has_changes |= this->store(item, last, now);
         }
     }
     return has_changes;
 }
 
 void published::apply_changes(const std::vector<published_item>& changes,
-                              std::uint64_t revision,
+                              const core::source_position& last,
                               core::time_point now)
 {
+    if (this->current.revision > 0 && last.era != this->current.era)
+    {
+        this->counts.items_outdated += changes.size();
+        return;
+    }
     // The answer may have been late, or may be a second one. What it tells of
     // items that are not held may then be outdated.
-    const bool outdated = this->may_lack_removal_after(revision);
-    const bool has_changes = this->apply_each(changes, revision, outdated, now);
-    this->raise_revision(revision, now);
+    const bool outdated = this->may_lack_removal_after(last);
+    const bool has_changes = this->apply_each(changes, last, outdated, now);
+    this->raise_position(last, now);
     if (has_changes)
     {
         this->notify_change();
     }
 }
 
-std::string published::text_since(std::uint64_t revision) const
+std::string published::text_since(const core::source_position& position) const
 {
     // Some removals in the gap are not known: the changes begin before it.
-    const std::uint64_t since =
-        this->gap.contains(revision) ? this->gap.from : revision;
+    const core::source_position since =
+        this->gap.contains(position) ? this->gap.from : position;
     published_text text;
-    text.revision = this->current_revision;
-    text.complete = since == 0 || since < this->removals_since;
+    text.position = this->current;
+    text.carried = this->carried_items();
+    text.complete = since.era != this->current.era || since.revision == 0 ||
+                    since < this->removals_since;
     for (const auto& [key, stored] : this->items)
     {
-        if (text.complete || stored.revision > since)
+        const core::source_position& stored_at = stored.state.position;
+        if (stored_at.era == this->current.era &&
+            (text.complete || stored_at > since))
         {
-            text.items.push_back({key, stored.value, stored.revision});
+            text.items.push_back({key, stored.value, stored_at});
         }
     }
     if (text.complete)
@@ -408,13 +523,14 @@
     }
     for (const auto& [key, removed] : this->removals)
     {
-        if (removed.revision > since)
+        const core::source_position& removed_at = removed.state.position;
+        if (removed_at > since)
         {
             const core::removal_kind kind = this->is_lapsing(key)
                                                 ? core::removal_kind::lapsed
                                                 : core::removal_kind::certain;
             text.items.push_back(
-                {key, "", removed.revision, true, kind, removed.inferred});
+                {key, "", removed_at, true, kind, removed.inferred});
         }
     }
     return format_published_text(text);
@@ -436,14 +552,15 @@
     std::vector<std::string> lost;
     for (const auto& [key, stored] : this->items)
     {
+        const core::source_position& stored_at = stored.state.position;
         const bool in_gap =
-            stored.revision > text.gap.from && stored.revision <= text.gap.to;
+            stored_at > text.gap.from && stored_at <= text.gap.to;
         if (in_gap && !passed_on.contains(key))
         {
             lost.push_back(key);
         }
     }
-    const removal missing{text.gap.to, true};
+    const removal missing{{text.gap.to, {}}, true};
     for (const std::string& key : lost)
     {
         this->remove(key, missing, core::removal_kind::certain, now);
@@ -454,26 +571,34 @@
 bool published::apply_peer_list(const published_text& text,
                                 core::time_point now)
 {
+    std::set<std::string> listed_keys;
+    for (const auto* part : {&text.items, &text.carried})
+    {
+        for (const published_item& item : *part)
+        {
+            listed_keys.insert(item.key);
+        }
+    }
     const auto kind_of = [&text](const std::string& key)
     {
         return text.lapsed.contains(key) ? core::removal_kind::lapsed
                                          : core::removal_kind::certain;
     };
-    return this->replace_items(text.items, {text.revision, true}, kind_of, now);
+    return this->replace_items(text.items, listed_keys,
+                               {{text.position, {}}, true}, kind_of, now);
 }
 
 bool published::apply_peer_changes(const published_text& text,
                                    core::time_point now)
 {
     bool has_changes = false;
-    if (this->current_revision < text.gap.to)
+    if (this->current < text.gap.to)
     {
         has_changes = this->remove_lost_in(text, now);
-        this->add_gap(std::max(text.gap.from, this->current_revision),
-                      text.gap.to);
+        this->add_gap(std::max(text.gap.from, this->current), text.gap.to);
     }
-    has_changes |= this->apply_each(text.items, text.revision, false, now);
-    this->raise_revision(text.revision, now);
+    has_changes |= this->apply_each(text.items, text.position, false, now);
+    this->raise_position(text.position, now);
     return has_changes;
 }
 
@@ -485,13 +610,30 @@
     {
         return parsed.error();
     }
-    if (parsed->revision <= this->current_revision)
+    const core::source_position& position = parsed->position;
+    if (position < this->current)
     {
         return {};
     }
-    const bool has_changes = parsed->complete
-                                 ? this->apply_peer_list(*parsed, now)
-                                 : this->apply_peer_changes(*parsed, now);
+    if (!core::is_plausible_era(position.era, this->current.era))
+    {
+        return core::make_error_code(core::result_code::peer_message_invalid);
+    }
+    // Changes of another era say nothing without its list, nor do those that
+    // have skipped what became of the items whose removals are carried over.
+    const bool skips_changes =
+        this->current < parsed->gap.to && this->carries_removals();
+    if (!parsed->complete && (this->is_later_era(position) || skips_changes))
+    {
+        return {};
+    }
+    bool has_changes = false;
+    if (position > this->current)
+    {
+        has_changes = parsed->complete ? this->apply_peer_list(*parsed, now)
+                                       : this->apply_peer_changes(*parsed, now);
+    }
+    has_changes |= this->apply_carried(parsed->carried, now);
     if (has_changes)
     {
         this->notify_change();
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -9,6 +9,7 @@
 #include <medlarbarrow/net/published_text.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -22,9 +23,9 @@
 {
     std::vector<published_item> items;
     /// Every change up to it is contained; single items may be newer.
-    std::uint64_t revision = 0;
-    /// Revision that this instance had when it asked for the listing.
-    std::uint64_t known_before = 0;
+    core::source_position position{};
+    /// Position that this instance had when it asked for the listing.
+    core::source_position known_before{};
     /// Kind of the removal of items that the listing lacks.
     core::removal_kind missing = core::removal_kind::certain;
 };
@@ -72,6 +73,7 @@
     std::uint64_t document_problems = 0;
     std::uint64_t listings_outdated = 0;
     std::uint64_t items_outdated = 0; ///< of late changes, or already removed
+    std::uint64_t eras_begun = 0; ///< returns of the source from older copies
 };
 
 /// Applies listings and changes from the source and from other instances, and
@@ -89,30 +91,46 @@
     [[nodiscard]] bool apply_listing(const source_listing& listing,
                                      core::time_point now);
 
-    /// Applies changes of the source up to revision `last_revision`. What is
-    /// known already, also from a later state, is skipped.
+    /// Applies changes of the source up to `last`. What is known already, also
+    /// from a later state, is skipped; so are changes of another era than the
+    /// one known, whose items have to be listed first.
     void apply_changes(const std::vector<published_item>& items,
-                       std::uint64_t last_revision,
+                       const core::source_position& last,
                        core::time_point now);
 
-    /// Returns the changes after `revision` as text for another instance, or a
-    /// complete listing if the removals since then are no longer kept.
-    std::string text_since(std::uint64_t revision) const;
+    /// Returns the changes after `position` as text for another instance, or a
+    /// complete listing if the removals since then are not known.
+    std::string text_since(const core::source_position& position) const;
 
     /// Applies the text that text_since() returned on another instance. Error:
     /// peer_message_invalid.
     std::error_code apply_text(std::string_view text, core::time_point now);
 
-    /// Revision up to which all changes are applied; 0 before the first
-    /// listing.
+    /// Position up to which all changes are applied; its revision is 0 before
+    /// the first listing.
+    const core::source_position& position() const noexcept
+    {
+        return this->current;
+    }
+
     std::uint64_t revision() const noexcept
     {
-        return this->current_revision;
+        return this->current.revision;
     }
 
-    /// Time when the revision last increased, through the source or another
+    /// Position since which changes have to be asked for: the position, or the
+    /// beginning while removals are carried over, since only a complete list
+    /// tells whether the source has removed those items again.
+    core::source_position position_to_ask() const;
+
+    /// Digest of what is carried over from earlier eras, see published_text; 0
+    /// if nothing is. Instances with the same position and other digests can
+    /// tell each other something.
+    std::uint64_t carried_digest() const;
+
+    /// Time when the position last rose, through the source or another
     /// instance.
-    core::time_point revision_raised_at() const noexcept
+    core::time_point position_raised_at() const noexcept
     {
         return this->raised_at;
     }
@@ -143,16 +161,20 @@
     struct stored_item
     {
         std::string value;
-        std::uint64_t revision = 0;
+        core::item_state state;
+        bool is_document = false;
     };
 
     /// Last removal of an item that is not held.
     struct removal
     {
-        std::uint64_t revision = 0;
-        /// Another instance lacked the item: it was removed at this revision or
+        /// Its position, and the highest version known to be removed.
+        core::item_state state;
+        /// Another instance lacked the item: it was removed at this position or
         /// before, unless that instance was wrong.
         bool inferred = false;
+        /// The source lists the item again, as it was in an earlier era.
+        bool is_carried = false;
     };
 
     /// Returns the kind of the removal of an item that a list lacks.
@@ -161,30 +183,45 @@
 
     bool is_lapsing(const std::string& key) const;
     void end_lapses();
-    void add_gap(std::uint64_t from, std::uint64_t to);
-    bool may_lack_removal_after(std::uint64_t revision) const;
+    void add_gap(core::source_position from, const core::source_position& to);
+    bool may_lack_removal_after(const core::source_position& position) const;
+    bool is_later_era(const core::source_position& position) const noexcept;
+    void log_new_era(const core::source_position& position);
     bool replace_items(const std::vector<published_item>& listed,
+                       const std::set<std::string>& listed_keys,
                        const removal& missing,
                        const missing_kind& kind_of,
                        core::time_point now);
+    void end_carried_removals(const std::set<std::string>& listed_keys,
+                              const removal& missing);
     bool apply_each(const std::vector<published_item>& changes,
-                    std::uint64_t revision,
+                    const core::source_position& last,
                     bool outdated,
                     core::time_point now);
     bool remove_lost_in(const published_text& text, core::time_point now);
     bool apply_peer_list(const published_text& text, core::time_point now);
     bool apply_peer_changes(const published_text& text, core::time_point now);
-    void raise_revision(std::uint64_t revision, core::time_point now);
-    bool is_removed(const published_item& item, std::uint64_t as_of) const;
+    bool apply_carried(const std::vector<published_item>& carried,
+                       core::time_point now);
+    bool remove_carried(const published_item& removed, core::time_point now);
+    std::vector<published_item> carried_items() const;
+    bool carries_removals() const;
+    void raise_position(const core::source_position& position,
+                        core::time_point now);
+    bool is_removed(const published_item& item,
+                    const core::item_state& state,
+                    const core::source_position& as_of);
     bool store(const published_item& item,
-               std::uint64_t as_of,
+               const core::source_position& as_of,
                core::time_point now);
     bool remove(const std::string& key,
                 const removal& removed,
                 core::removal_kind kind,
                 core::time_point now);
     void record_removal(const std::string& key, const removal& removed);
-    void apply_item(const published_item& item, core::time_point now);
+    void apply_item(const published_item& item,
+                    parsed_item meaning,
+                    core::time_point now);
     void apply_document(parsed_document parsed);
 
     item_reader read_item;
@@ -193,12 +230,12 @@
     std::map<std::string, std::string> server_names; ///< by item key
     std::map<std::string, removal> removals;         ///< by item key
     /// Later removals are kept, except those of items from the gap.
-    std::uint64_t removals_since = 0;
+    core::source_position removals_since;
     /// The last one; removals_since is not below the end of the one before.
-    revision_gap gap;
+    position_gap gap;
     /// Servers whose items have lapsed and that are still usable, by item key.
     std::map<std::string, std::string> lapsing_servers;
-    std::uint64_t current_revision = 0;
+    core::source_position current;
     core::time_point raised_at{};
     std::shared_ptr<const core::document> current_document;
     core::server_registry registry;
--- a/medlarbarrow/net/published_text.cpp
+++ b/medlarbarrow/net/published_text.cpp
@@ -15,17 +15,18 @@
 {
     if (!item.removed)
     {
-        return json::array({item.key, item.revision, item.value});
+        return json::array({item.key, item.position.revision, item.value});
     }
     const bool lapsed = item.removal == core::removal_kind::lapsed;
-    return json::array({item.key, item.revision, lapsed, item.inferred});
+    return json::array(
+        {item.key, item.position.revision, lapsed, item.inferred});
 }
 
-published_item to_item(const json& element)
+published_item to_item(const json& element, std::uint64_t era)
 {
     published_item item;
     item.key = element.at(0).get<std::string>();
-    item.revision = element.at(1).get<std::uint64_t>();
+    item.position = {era, element.at(1).get<std::uint64_t>()};
     const json& value_or_lapsed = element.at(2);
     item.removed = value_or_lapsed.is_boolean();
     if (!item.removed)
@@ -40,6 +41,47 @@
     return item;
 }
 
+/// The fourth element is the value; for a removed item, the last two are the
+/// version that was removed.
+json carried_to_json(const published_item& item)
+{
+    const core::source_position& position = item.position;
+    if (!item.removed)
+    {
+        return json::array(
+            {item.key, position.era, position.revision, item.value});
+    }
+    return json::array({item.key, position.era, position.revision,
+                        item.version.major, item.version.minor});
+}
+
+published_item carried_to_item(const json& element)
+{
+    published_item item;
+    item.key = element.at(0).get<std::string>();
+    item.position = {element.at(1).get<std::uint64_t>(),
+                     element.at(2).get<std::uint64_t>()};
+    item.removed = !element.at(3).is_string();
+    if (!item.removed)
+    {
+        item.value = element.at(3).get<std::string>();
+        return item;
+    }
+    item.version = {element.at(3).get<std::uint64_t>(),
+                    element.at(4).get<std::uint64_t>()};
+    return item;
+}
+
+json carried_to_json(const std::vector<published_item>& items)
+{
+    json formatted = json::array();
+    for (const published_item& item : items)
+    {
+        formatted.push_back(carried_to_json(item));
+    }
+    return formatted;
+}
+
 } // namespace
 
 std::string format_published_text(const published_text& text)
@@ -49,12 +91,21 @@
     {
         changes.push_back(to_json(item));
     }
-    json formatted{{"at", text.revision},
+    json formatted{{"at", text.position.revision},
                    {"complete", text.complete},
                    {"changes", std::move(changes)}};
-    if (text.gap.to != 0)
+    if (text.position.era != 0)
     {
-        formatted["gap"] = json::array({text.gap.from, text.gap.to});
+        formatted["era"] = text.position.era;
+    }
+    if (text.gap.to.revision != 0)
+    {
+        formatted["gap"] =
+            json::array({text.gap.from.revision, text.gap.to.revision});
+    }
+    if (!text.carried.empty())
+    {
+        formatted["carried"] = carried_to_json(text.carried);
     }
     if (!text.lapsed.empty())
     {
@@ -70,16 +121,25 @@
     {
         const json parsed = json::parse(text);
         published_text result;
-        result.revision = parsed.at("at").get<std::uint64_t>();
+        const auto era = parsed.value("era", std::uint64_t{0});
+        result.position = {era, parsed.at("at").get<std::uint64_t>()};
         result.complete = parsed.at("complete").get<bool>();
         for (const json& element : parsed.at("changes"))
         {
-            result.items.push_back(to_item(element));
+            result.items.push_back(to_item(element, era));
+        }
+        if (const auto carried = parsed.find("carried");
+            carried != parsed.end())
+        {
+            for (const json& element : *carried)
+            {
+                result.carried.push_back(carried_to_item(element));
+            }
         }
         if (const auto gap = parsed.find("gap"); gap != parsed.end())
         {
-            result.gap = {gap->at(0).get<std::uint64_t>(),
-                          gap->at(1).get<std::uint64_t>()};
+            result.gap.from = {era, gap->at(0).get<std::uint64_t>()};
+            result.gap.to = {era, gap->at(1).get<std::uint64_t>()};
         }
         if (const auto lapsed = parsed.find("lapsed"); lapsed != parsed.end())
         {
--- a/medlarbarrow/net/published_text.hpp
+++ b/medlarbarrow/net/published_text.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <medlarbarrow/core/registry.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
+#include <medlarbarrow/core/source_position.hpp>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,37 +18,42 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0;
+    core::source_position position{};
     bool removed = false;
     /// Kind of the removal, if `removed` is set.
     core::removal_kind removal = core::removal_kind::certain;
     /// The removal was only inferred from a list of another instance, which
     /// lacked the item.
     bool inferred = false;
+    /// Of a removal: the highest version that is known to be removed.
+    core::content_version version{};
 };
 
-/// Revisions, both ends excluded, in which items may have been written and
-/// removed without becoming known.
-struct revision_gap
+/// Positions of one era, both ends excluded, in which items may have been
+/// written and removed without becoming known.
+struct position_gap
 {
-    std::uint64_t from = 0;
-    std::uint64_t to = 0;
+    core::source_position from;
+    core::source_position to;
 
-    bool contains(std::uint64_t revision) const noexcept
+    bool contains(const core::source_position& position) const noexcept
     {
-        return this->from < revision && revision < this->to;
+        return this->from < position && position < this->to;
     }
 };
 
 /// What an instance passes on: all items, or the changes after a revision.
 struct published_text
 {
-    std::uint64_t revision = 0; ///< every change up to it is contained
-    bool complete = false;      ///< `items` are all items, without removals
-    std::vector<published_item> items;
+    core::source_position position; ///< all changes up to it are contained
+    bool complete = false; ///< with `carried`, all items, without removals
+    std::vector<published_item> items; ///< of the era of `position`
+    /// What the sender knows from earlier eras and the source has lost, and
+    /// what holds until it is written again: items and removals.
+    std::vector<published_item> carried;
     /// Of the changes: an item that was written in the gap, or at its end, and
     /// that `items` lacks has been removed by the end of the gap.
-    revision_gap gap;
+    position_gap gap;
     /// Of a complete list: items that it lacks because they have lapsed, and
     /// whose servers are still in their grace period.
     std::set<std::string> lapsed;
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -14,7 +14,7 @@
 {
     core::gossip gossip;
     gossip.incarnation = 5;
-    gossip.revision = 17;
+    gossip.position = 17;
     gossip.wants_reply = true;
     gossip.members = {{0x0a010005, 77, 250ms, false}, {9, 8, 1s, true}};
     core::gossip news = gossip;
@@ -229,7 +229,7 @@
     done.notice = {"i-4", 5, true};
     core::gossip gossip;
     gossip.incarnation = 5;
-    gossip.revision = 17;
+    gossip.position = 17;
     gossip.members = {{0x0a010005, 77, 250ms, false}};
     EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(gossip)),
               earlier_release::gossip);
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -56,12 +56,17 @@
     {
         return std::nullopt;
     };
-    callbacks.revision = []
+    callbacks.position = []
     {
-        return std::uint64_t{1};
+        return core::source_position(1);
     };
-    callbacks.on_newer_revision = [](const std::string&, std::uint64_t) {};
-    callbacks.changes_since = [](std::uint64_t)
+    callbacks.carried_digest = []
+    {
+        return std::uint64_t{0};
+    };
+    callbacks.on_news_at_peer = [](const std::string&,
+                                   const core::source_position&) {};
+    callbacks.changes_since = [](const core::source_position&)
     {
         return std::string();
     };
--- a/tests/published_fleet_test.cpp
+++ b/tests/published_fleet_test.cpp
@@ -248,7 +248,7 @@
                            [&](const published_item& change)
                            {
                                return change.key == key_of(number) &&
-                                      change.revision > revision &&
+                                      change.position.revision > revision &&
                                       !change.removed;
                            });
     }
--- a/tests/published_history_test.cpp
+++ b/tests/published_history_test.cpp
@@ -170,7 +170,7 @@
         [&](const std::string& version, std::uint64_t revision)
     {
         net::source_listing listing;
-        listing.revision = revision;
+        listing.position = revision;
         listing.items = {{"op/config", document_text(version), revision}};
         return listing;
     };
@@ -271,7 +271,7 @@
     EXPECT_EQ(this->second.servers().all().size(), 1U);
     for (net::published* instance : {&this->first, &this->second})
     {
-        instance->apply_changes(repeated, late.revision, start);
+        instance->apply_changes(repeated, late.position, start);
         EXPECT_EQ(instance->servers().all().size(), 1U);
     }
     this->list(this->second);
@@ -379,7 +379,7 @@
     {
         earlier.items.push_back(this->source.items.at(key_of(number)));
     }
-    earlier.revision = this->base;
+    earlier.position = this->base;
     ASSERT_TRUE(between.apply_listing(earlier, start));
     this->pass_on(this->first, between);
     this->pass_on(between, third);
--- a/tests/source_model.hpp
+++ b/tests/source_model.hpp
@@ -23,31 +23,61 @@
            R"("ready","sequence":4,"warmupLeft":"0ms"},"born":17})";
 }
 
-/// A source with one revision for each change.
+/// A source with one revision for each change, which can come back from an
+/// older copy.
 class source_model
 {
 public:
     void put(const std::string& key)
     {
-        this->write({key, server_text(), this->revision + 1});
+        this->put(key, server_text());
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        this->write({key, value, {this->era, this->revision + 1}});
     }
 
     void remove(const std::string& key)
     {
         if (this->items.contains(key))
         {
-            this->write({key, "", this->revision + 1, true});
+            this->write({key, "", {this->era, this->revision + 1}, true});
         }
     }
 
-    net::source_listing list(std::uint64_t known_before) const
+    core::source_position position() const
+    {
+        return {this->era, this->revision};
+    }
+
+    void make_copy()
+    {
+        this->copied_items = this->items;
+        this->copied_revision = this->revision;
+    }
+
+    /// Begins a new era with what the last copy has.
+    void restore_copy()
+    {
+        ++this->era;
+        this->items = this->copied_items;
+        this->revision = this->copied_revision;
+        this->history.clear();
+        for (auto& [key, item] : this->items)
+        {
+            item.position.era = this->era;
+        }
+    }
+
+    net::source_listing list(const core::source_position& known_before) const
     {
         net::source_listing listing;
         for (const auto& [key, item] : this->items)
         {
             listing.items.push_back(item);
         }
-        listing.revision = this->revision;
+        listing.position = this->position();
         listing.known_before = known_before;
         return listing;
     }
@@ -59,7 +89,7 @@
                      std::back_inserter(changes),
                      [after](const published_item& change)
                      {
-                         return change.revision > after;
+                         return change.position.revision > after;
                      });
         return changes;
     }
@@ -71,7 +101,7 @@
         bool removed = false;
         for (const published_item& change : this->history)
         {
-            if (change.key == key && change.revision <= at)
+            if (change.key == key && change.position.revision <= at)
             {
                 removed = change.removed;
             }
@@ -82,6 +112,7 @@
     std::map<std::string, published_item> items;
     std::vector<published_item> history;
     std::uint64_t revision = 10;
+    std::uint64_t era = 0; ///< 0: the source states none
 
 private:
     void write(const published_item& change)
@@ -97,6 +128,9 @@
             this->items[change.key] = change;
         }
     }
+
+    std::map<std::string, published_item> copied_items;
+    std::uint64_t copied_revision = 0;
 };
 
 /// Key of a server's announcement.
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -269,10 +269,11 @@
     this->io.run_for(2500ms);
     this->io.restart();
     this->store.put("servers/i-2", server_text("draining"));
-    this->published.apply_changes({{"servers/i-2", server_text("draining"),
-                                    this->published.revision() + 1}},
-                                  this->published.revision() + 1,
-                                  core::boot_clock::now());
+    core::source_position next = this->published.position();
+    ++next.revision;
+    this->published.apply_changes(
+        {{"servers/i-2", server_text("draining"), next}}, next,
+        core::boot_clock::now());
     this->store.remove("servers/i-1");
     this->store.set_faults({});
     const std::uint64_t revision_before = this->published.revision();
@@ -567,6 +568,142 @@
     EXPECT_EQ(this->published.counters().listings_outdated, 1U);
 }
 
+/// And the store has a copy, and was written since then.
+class a_reader_of_a_copied_store : public a_reader_of_the_store
+{
+protected:
+    void SetUp() override
+    {
+        this->store.put("op/config", config_text);
+        this->store.put("servers/i-1", server_text("ready"));
+        this->store.make_copy();
+        for (unsigned sequence = 2; sequence < 12; ++sequence)
+        {
+            this->store.put("servers/i-1", server_text("ready", sequence));
+        }
+        this->start();
+        ASSERT_TRUE(this->run_until(
+            [this]
+            {
+                return this->reader->is_reachable();
+            }));
+    }
+
+    bool follows_store()
+    {
+        return this->run_until(
+            [this]
+            {
+                return this->published.position() ==
+                       core::source_position{this->store.era(),
+                                             this->store.revision()};
+            });
+    }
+
+    /// The store states these eras in place of its own for a while. The reader
+    /// takes nothing of it, keeps what it has and follows the store afterwards.
+    void expect_refused(const std::vector<std::string>& eras)
+    {
+        const core::source_position before = this->published.position();
+        const std::uint64_t failed_before =
+            this->reader->counters().failed_calls;
+        standin::store_faults faults;
+        faults.era_headers = eras;
+        this->store.set_faults(faults);
+        this->store.put("servers/i-2", server_text("ready"));
+        EXPECT_TRUE(this->run_until(
+            [this, failed_before]
+            {
+                return this->reader->counters().failed_calls >=
+                       failed_before + 2;
+            }));
+        EXPECT_FALSE(this->reader->is_reachable());
+        EXPECT_EQ(this->published.position(), before);
+        EXPECT_EQ(this->usable_servers(), 1U);
+        this->store.set_faults({});
+        EXPECT_TRUE(this->follows_store());
+        EXPECT_EQ(this->usable_servers(), 2U);
+    }
+};
+
+// Guards against a watch whose answer is taken although the store has come back
+// from a copy: its revisions are past the one that the watch started from, so
+// that it answers with events, and those before are never seen.
+TEST_F(a_reader_of_a_copied_store, lists_when_a_watch_is_answered_in_a_new_era)
+{
+    const std::uint64_t held = this->store.revision();
+    standin::store_faults faults;
+    faults.away = true;
+    this->store.set_faults(faults);
+    this->store.restore_copy();
+    this->store.put("servers/i-2", server_text("ready"));
+    for (unsigned sequence = 2; this->store.revision() < held + 5; ++sequence)
+    {
+        this->store.put("op/note", std::to_string(sequence));
+    }
+    this->store.set_faults({});
+    EXPECT_TRUE(this->follows_store());
+    EXPECT_EQ(this->usable_servers(), 2U);
+}
+
+// Guards against calls without end after the return, and against a listing of
+// two eras, whose first pages are not in force any more.
+TEST_F(a_reader_of_a_copied_store, lists_again_when_the_store_returns_meanwhile)
+{
+    standin::store_faults faults;
+    faults.late_prefix = "servers/";
+    faults.lateness = 300ms;
+    this->store.set_faults(faults);
+    const std::uint64_t listings = this->store.counts().listings;
+    this->store.restore_copy();
+    ASSERT_TRUE(this->run_until(
+        [this, listings]
+        {
+            return this->store.counts().listings >= listings + 2;
+        }));
+    // The first part has been read, the second one is on its way.
+    this->store.put("op/note", "1");
+    this->store.restore_copy();
+    this->store.put("servers/i-3", server_text("ready"));
+    EXPECT_TRUE(this->follows_store());
+    EXPECT_EQ(this->usable_servers(), 2U);
+    const std::uint64_t settled = this->store.counts().listings;
+    this->io.run_for(2s);
+    this->io.restart();
+    EXPECT_EQ(this->store.counts().listings, settled);
+}
+
+// Guards against a damaged era that moves an instance to one that the store
+// never reaches, or back to an earlier one.
+TEST_F(a_reader_of_a_copied_store, refuses_an_era_that_cannot_be_right)
+{
+    this->store.restore_copy();
+    ASSERT_TRUE(this->follows_store());
+    for (const std::vector<std::string>& eras :
+         std::vector<std::vector<std::string>>{
+             {"x"}, {""}, {"-1"}, {"2x"}, {"1000002"}, {"1"}, {"2", "2"}})
+    {
+        SCOPED_TRACE(eras.front());
+        this->store.remove("servers/i-2");
+        ASSERT_TRUE(this->follows_store());
+        this->expect_refused(eras);
+    }
+}
+
+// Guards against a store that is not followed because an answer lacks the era:
+// it belongs to the one last seen.
+TEST_F(a_reader_of_a_copied_store, takes_an_answer_without_an_era)
+{
+    this->store.restore_copy();
+    ASSERT_TRUE(this->follows_store());
+    standin::store_faults faults;
+    faults.era_headers = std::vector<std::string>();
+    this->store.set_faults(faults);
+    this->store.put("servers/i-2", server_text("ready"));
+    EXPECT_TRUE(this->follows_store());
+    EXPECT_EQ(this->usable_servers(), 2U);
+}
+
 // Guards against an instance that never follows the store again after the store
 // has come back from an older copy: all that it lists then has lower revisions
 // than what the instance had.
