Send two orders in a row in a test of late broken answers

Cause: the test wants at least one of 12 requests to meet an answer with status 000 on a used connection. Orders and repeatable requests came by turns; when each order got a new connection and each repeatable request a used one, after which it is repeated at the other server, all 12 were served and the check failed. Change: 24 requests, two orders before each repeatable request. All checks are as before.

--- a/tests/broken_answer_fleet_test.cpp
+++ b/tests/broken_answer_fleet_test.cpp
@@ -251,10 +251,12 @@
     }
     this->start(response);
     unsigned failed = 0;
-    for (unsigned number = 1; number <= 12; ++number)
+    for (unsigned number = 1; number <= 24; ++number)
     {
+        // Two orders in a row: by turns, each order could get a new connection
+        // and each repeatable request a used one, after which it is repeated.
         const client_answer received = this->send(
-            "GET", number % 2 == 0 ? "/order/1" : "/browse/1", number);
+            "GET", number % 3 == 0 ? "/browse/1" : "/order/1", number);
         EXPECT_TRUE(received.complete);
         failed += received.status == 502 ? 1 : 0;
         if (received.status != 502)
