--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
@@ -178,6 +179,21 @@
         return kib;
     }
 
+    /// File descriptors that the process has open now; 0 if that is not known.
+    std::size_t open_files() const
+    {
+        std::error_code failure;
+        std::filesystem::directory_iterator entry(
+            "/proc/" + std::to_string(this->id) + "/fd", failure);
+        std::size_t count = 0;
+        while (!failure && entry != std::filesystem::directory_iterator())
+        {
+            ++count;
+            entry.increment(failure);
+        }
+        return count;
+    }
+
     std::string log() const
     {
         std::ifstream file(this->log_path);
