Grow the buffer for answers with the answer

Each attempt allocated and cleared 128 KB for the decoded answer at its start, before any byte of an answer had come: attempts at servers that read or answer nothing cost that much each. The buffer now grows with what has been read, up to the same limit. upstream_test passes.

--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -535,7 +535,7 @@
         co_return not_sent;
     }
     const auto current = std::make_shared<exchange>(
-        this->executor, this->pool_of(step), this->counts);
+        this->executor, this->pool_of(step), this->counts, this->part_bytes);
     const callback_guard guard(caller);
     caller.on_disconnect = [current, keep_answer = step.keep_answer]
     {
--- a/medlarbarrow/net/upstream_answer.cpp
+++ b/medlarbarrow/net/upstream_answer.cpp
@@ -199,7 +199,6 @@
         co_return false;
     }
     current.parser->eager(true);
-    current.part_buffer.resize(this->part_bytes);
     std::size_t discarded_bytes = 0;
     bool proceed = true;
     while (proceed && !current.parser->is_done())
@@ -370,7 +369,7 @@
             current.reject_bytes("malformed body");
         }
         const bool enough = current.parser->is_done() ||
-                            current.filled == current.part_buffer.size() ||
+                            current.filled == current.part_limit ||
                             (current.filled > 0 && !needs_complete_body);
         if (enough || current.stopped)
         {
@@ -448,7 +447,6 @@
         this->read_statement(*current, step);
         caller.on_answer_header(current->result);
     }
-    current->part_buffer.resize(this->part_bytes);
     while (proceed)
     {
         exchange::arm_for_part(current, step.deadline,
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -74,10 +74,11 @@
 
     exchange(const asio::any_io_executor& executor,
              std::shared_ptr<server_pool> server_connections,
-             std::shared_ptr<upstream_counters> counters)
+             std::shared_ptr<upstream_counters> counters,
+             std::size_t max_part_bytes)
         : pool(std::move(server_connections)), counts(std::move(counters)),
           socket(executor), watchdog(executor), changed(executor),
-          input(max_answer_header_bytes)
+          input(max_answer_header_bytes), part_limit(max_part_bytes)
     {
     }
 
@@ -140,9 +141,23 @@
         return failure;
     }
 
+    /// Makes room in `part_buffer` for the buffered input, up to `part_limit`.
+    void grow_part_buffer()
+    {
+        const std::size_t size = this->part_buffer.size();
+        const std::size_t wanted =
+            std::min(this->part_limit, this->filled + this->input.size());
+        if (wanted > size)
+        {
+            this->part_buffer.resize(
+                std::min(this->part_limit, std::max(wanted, 2 * size)));
+        }
+    }
+
     /// Decodes buffered input into `part_buffer`. False when it is malformed.
     bool decode()
     {
+        this->grow_part_buffer();
         auto& body = this->parser->get().body();
         const std::size_t room = this->part_buffer.size() - this->filled;
         body.data = this->part_buffer.data() + this->filled;
@@ -302,7 +317,8 @@
     boost::beast::flat_buffer input;
     std::optional<answer_parser> parser;
     answer_head head;
-    std::vector<char> part_buffer;
+    std::vector<char> part_buffer; ///< grows with the answer
+    std::size_t part_limit;        ///< bytes that `part_buffer` may take
     std::size_t filled = 0; ///< bytes of `part_buffer` in use
     core::stored_answer stored;
     bool answer_fits = true;
