Bound the connections of callers and what they hold for requests

Each connection kept up to 70 KB, or 260 KB with a copy for a retry, also after its request had ended, and the gateway went on accepting beyond its limit of connections when none was idle. The connections now account for the buffers of requests that are arriving and refuse with 503, request_memory_exhausted, what goes beyond 48 MiB, before a byte has gone to a server. Buffers are given back at the end of each request. Beyond the limit of connections, an idle one is closed, else a stopped request is ended, else the new connection is closed. The gateway keeps no copy of a body that it cannot send again. Counters are at /metrics of both programs; medlard has bounds.max_arriving_bytes.

--- a/medlarbarrow/config/settings.cpp
+++ b/medlarbarrow/config/settings.cpp
@@ -75,6 +75,8 @@
                             1U << 20U, presence::optional);
     reader.unsigned_integer("buffer_bytes", target.buffer_bytes, 4096,
                             16U << 20U, presence::optional);
+    reader.unsigned_integer("max_arriving_bytes", target.max_arriving_bytes,
+                            1U << 20U, 1U << 30U, presence::optional);
     reader.milliseconds("idle_timeout_ms", target.idle_timeout, 100, hour_ms,
                         presence::optional);
     reader.milliseconds("header_timeout_ms", target.header_timeout, 100,
--- a/medlarbarrow/config/settings.hpp
+++ b/medlarbarrow/config/settings.hpp
@@ -33,6 +33,8 @@
     std::uint32_t max_connections = 4096;
     std::uint32_t max_header_bytes = 16384;
     std::uint32_t buffer_bytes = 65536; ///< per direction of a request
+    /// Of all requests together that are arriving.
+    std::uint32_t max_arriving_bytes = 48U << 20U;
     std::chrono::milliseconds idle_timeout{60000};
     std::chrono::milliseconds header_timeout{10000};
 };
--- a/medlarbarrow/core/result_codes.cpp
+++ b/medlarbarrow/core/result_codes.cpp
@@ -52,6 +52,8 @@
     table_row{result_code::instance_failed, "instance_failed",
               "the instance had an internal failure while it served the "
               "request"},
+    table_row{result_code::request_memory_exhausted, "request_memory_exhausted",
+              "the instance has no memory for a request that is arriving"},
     table_row{result_code::server_connect_failed, "server_connect_failed",
               "no connection to a backend server could be opened"},
     table_row{result_code::server_timeout, "server_timeout",
--- a/medlarbarrow/core/result_codes.hpp
+++ b/medlarbarrow/core/result_codes.hpp
@@ -28,6 +28,7 @@
     not_ready = 206,
     limit_home_unreachable = 207,
     instance_failed = 208,
+    request_memory_exhausted = 209,
     server_connect_failed = 301,
     server_timeout = 302,
     server_closed_early = 303,
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -1,6 +1,8 @@
+#include <bit>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <medlarbarrow/net/caller.hpp>
+#include <medlarbarrow/net/log.hpp>
 #include <netinet/tcp.h>
 
 namespace medlarbarrow::net
@@ -16,6 +18,19 @@
 constexpr std::size_t read_buffer_bytes = 8192;
 constexpr std::size_t min_chunk_bytes = 4096;
 constexpr std::size_t max_chunk_bytes = 16384;
+
+/// Input that is buffered while the body is decoded from it: one part to decode
+/// while the next one is read.
+constexpr std::size_t body_input_bytes = 2 * read_buffer_bytes;
+
+/// An idle connection keeps an input buffer up to this size.
+constexpr std::size_t max_idle_input_bytes = 4096;
+
+constexpr std::size_t min_decode_bytes = 512;
+
+/// Above this size the copy of a body grows by this size at a time instead of
+/// being doubled.
+constexpr std::size_t copy_step_bytes = 64U << 10U;
 constexpr std::string_view header_end = "\r\n\r\n";
 
 /// While draining, a connection stays open for this long after it was opened
@@ -77,10 +92,30 @@
     return std::get<socket_type>(this->stream);
 }
 
+/// Tells the budget for as long as it exists that the connection waits for its
+/// client.
+class wait_scope
+{
+public:
+    explicit wait_scope(core::body_account& waiting) : account(waiting) {}
+    wait_scope(const wait_scope&) = delete;
+    wait_scope& operator=(const wait_scope&) = delete;
+
+    ~wait_scope()
+    {
+        this->account.end_wait();
+    }
+
+private:
+    core::body_account& account;
+};
+
 caller_connection::caller_connection(caller_stream&& accepted,
-                                     const config::entry_bounds& limits)
-    : bounds(limits), stream(std::move(accepted)),
-      changed(this->stream.get_executor()),
+                                     const config::entry_bounds& limits,
+                                     std::shared_ptr<core::body_budget> budget,
+                                     std::string client)
+    : bounds(limits), account(std::move(budget), client, *this),
+      stream(std::move(accepted)), changed(this->stream.get_executor()),
       operation_timer(this->stream.get_executor()),
       input(limits.max_header_bytes + 2 * read_buffer_bytes),
       read_buffer(read_buffer_bytes)
@@ -96,11 +131,15 @@
         co_return true;
     }
     error_code failure;
+    const wait_scope waiting(this->account);
+    this->account.wait_for_request(core::boot_clock::now());
+    this->in_handshake = true;
     this->start_operation_timer(this->bounds.header_timeout);
     co_await tls->async_handshake(
         asio::ssl::stream_base::server,
         asio::redirect_error(asio::use_awaitable, failure));
     this->stop_operation_timer();
+    this->in_handshake = false;
     co_return !failure;
 }
 
@@ -110,10 +149,190 @@
         this->shared_from_this());
 }
 
+// Size up to which the input is read. It is smaller inside a body, which is
+// taken from it in parts, unless the parser needs a longer line.
+std::size_t caller_connection::input_limit() const
+{
+    const bool in_body = this->parser && !this->parser->is_done();
+    return in_body && !this->needs_longer_input
+               ? std::max(body_input_bytes, this->input.capacity())
+               : this->input.max_size();
+}
+
 bool caller_connection::has_room_to_read() const
 {
-    return this->input.max_size() - this->input.size() >=
-           this->read_buffer.size();
+    return this->input.size() + this->read_buffer.size() <= this->input_limit();
+}
+
+// Accounts for `more_bytes` in addition to the buffers. False when the budget
+// has no room for them.
+bool caller_connection::hold_memory(std::size_t more_bytes)
+{
+    return this->account.hold(this->buffer_bytes() + more_bytes);
+}
+
+std::size_t caller_connection::buffer_bytes() const
+{
+    return this->input.capacity() + this->decode_buffer_bytes +
+           this->replay_body.capacity();
+}
+
+// Accounts for the buffers as they are.
+bool caller_connection::hold_memory()
+{
+    return this->hold_memory(0);
+}
+
+// Refuses the request that arrives. Its further bytes are discarded.
+void caller_connection::refuse_for_memory()
+{
+    if (this->memory_refused)
+    {
+        return;
+    }
+    this->memory_refused = true;
+    this->account.count_refusal();
+    log::write(log::level::warning, "request_memory_exhausted",
+               {log::kv("client", this->account.client())});
+}
+
+// Gives back all buffers of the request that was read last. The input keeps the
+// bytes of the next one.
+void caller_connection::release_request_buffers()
+{
+    this->account.set_copy(0);
+    this->is_streaming = false;
+    this->needs_longer_input = false;
+    this->decode_buffer.reset();
+    this->decode_buffer_bytes = 0;
+    if (this->replay_body.capacity() > std::string().capacity())
+    {
+        this->replay_body = std::string();
+    }
+    if (this->input.size() == 0 &&
+        this->input.capacity() > max_idle_input_bytes)
+    {
+        this->input.shrink_to_fit();
+    }
+    this->hold_memory();
+}
+
+void caller_connection::release_buffers()
+{
+    this->discarded_bytes += this->input.size();
+    this->input.consume(this->input.size());
+    this->input.shrink_to_fit();
+    this->release_request_buffers();
+}
+
+bool caller_connection::is_idle()
+{
+    return this->idle_since().has_value();
+}
+
+// Closes a connection that has not finished its TLS handshake. Otherwise the
+// waiting coroutine writes the refusal.
+void caller_connection::end_stopped()
+{
+    log::write(log::level::warning, "stopped_request_ended",
+               {log::kv("client", this->account.client())});
+    this->ended_by_budget = true;
+    this->memory_refused = true;
+    this->release_buffers();
+    if (this->in_handshake)
+    {
+        this->close_socket();
+        return;
+    }
+    this->changed.notify();
+}
+
+void caller_connection::drop_copy()
+{
+    this->replayable = false;
+    this->replay_body = std::string();
+    this->hold_memory();
+}
+
+// Takes the buffers that are needed to pass on the rest of a body, so that it
+// need not be refused after part of it has been sent.
+bool caller_connection::reserve_streaming_buffers()
+{
+    const std::size_t capacity = this->input.capacity();
+    const std::size_t more =
+        body_input_bytes - std::min(capacity, body_input_bytes);
+    if (!this->hold_memory(more))
+    {
+        return false;
+    }
+    this->input.reserve(body_input_bytes);
+    return this->grow_decode_buffer(this->max_decode_bytes());
+}
+
+std::size_t caller_connection::max_decode_bytes() const
+{
+    return std::clamp<std::size_t>(this->bounds.buffer_bytes / 2,
+                                   min_chunk_bytes, max_chunk_bytes);
+}
+
+bool caller_connection::grow_decode_buffer(std::size_t bytes)
+{
+    if (bytes <= this->decode_buffer_bytes)
+    {
+        return true;
+    }
+    if (!this->hold_memory(bytes - this->decode_buffer_bytes))
+    {
+        return false;
+    }
+    this->decode_buffer = std::make_unique_for_overwrite<char[]>(bytes);
+    this->decode_buffer_bytes = bytes;
+    return true;
+}
+
+bool caller_connection::grow_replay_body(std::size_t bytes)
+{
+    const std::size_t capacity = this->replay_body.capacity();
+    if (bytes <= capacity)
+    {
+        return true;
+    }
+    const std::size_t grown =
+        std::max(bytes, capacity + std::min(capacity, copy_step_bytes));
+    // A copy for a retry is not worth the request of another caller.
+    const std::size_t total = this->buffer_bytes() + grown - capacity;
+    const bool granted = this->is_streaming ? this->account.hold_if_free(total)
+                                            : this->account.hold(total);
+    if (!granted)
+    {
+        return false;
+    }
+    // reserve() of a string that is not empty would double it.
+    std::string larger;
+    larger.reserve(grown);
+    larger += this->replay_body;
+    this->replay_body = std::move(larger);
+    return true;
+}
+
+// Moves what was read into the input. False when there is no memory for it.
+bool caller_connection::store_input(std::size_t count)
+{
+    const std::size_t size = this->input.size();
+    const std::size_t capacity = this->input.capacity();
+    if (size + count > capacity)
+    {
+        const std::size_t grown =
+            std::min(this->input.max_size(), std::max(2 * size, size + count));
+        if (!this->hold_memory(grown - capacity))
+        {
+            return false;
+        }
+    }
+    const auto target = this->input.prepare(count);
+    asio::buffer_copy(target, asio::buffer(this->read_buffer, count));
+    this->input.commit(count);
+    return true;
 }
 
 // Keeps one read outstanding while the input buffer has room. The read also
@@ -138,9 +357,15 @@
 void caller_connection::on_read(error_code failure, std::size_t count)
 {
     this->reading = false;
-    const auto target = this->input.prepare(count);
-    asio::buffer_copy(target, asio::buffer(this->read_buffer, count));
-    this->input.commit(count);
+    this->account.record_progress();
+    if (!this->memory_refused && count > 0 && !this->store_input(count))
+    {
+        this->refuse_for_memory();
+    }
+    if (this->memory_refused)
+    {
+        this->discarded_bytes += count;
+    }
     if (failure)
     {
         this->read_ended = true;
@@ -149,7 +374,7 @@
             callback();
         }
     }
-    else
+    else if (!this->memory_refused)
     {
         this->start_read();
     }
@@ -177,13 +402,21 @@
 
 asio::awaitable<head_status> caller_connection::read_head()
 {
+    this->release_request_buffers();
     this->idle_start = core::boot_clock::now();
     this->answer_started = false;
     this->answer_complete = false;
     this->status = 0;
+    const wait_scope waiting(this->account);
+    this->account.wait_idle(*this->idle_start);
     std::optional<core::time_point> header_deadline;
     while (!this->closed)
     {
+        if (this->memory_refused)
+        {
+            this->release_buffers();
+            co_return head_status::no_memory;
+        }
         // Some callers append an extra line break to a body.
         while (this->buffered().starts_with("\r\n"))
         {
@@ -210,6 +443,7 @@
         if (!text.empty() && !header_deadline)
         {
             this->idle_start.reset();
+            this->account.wait_for_request(now);
             header_deadline = now + this->bounds.header_timeout;
         }
         if (header_deadline &&
@@ -246,6 +480,7 @@
     this->idle_start.reset();
     this->replay_body.clear();
     this->replayable = true;
+    this->keeps_copy = true;
     this->body_failed = false;
     this->body_bytes_received = 0;
     this->body_limit = std::numeric_limits<std::uint64_t>::max();
@@ -282,64 +517,91 @@
 // valid until the next call.
 std::string_view caller_connection::decode()
 {
-    if (this->decode_buffer.empty())
+    const std::size_t wanted =
+        std::min(this->max_decode_bytes(),
+                 std::max(std::bit_ceil(this->input.size()), min_decode_bytes));
+    if (this->memory_refused || !this->grow_decode_buffer(wanted))
     {
-        this->decode_buffer.resize(std::clamp<std::size_t>(
-            this->bounds.buffer_bytes / 2, min_chunk_bytes, max_chunk_bytes));
+        this->refuse_for_memory();
+        return {};
     }
     auto& body = this->parser->get().body();
-    body.data = this->decode_buffer.data();
-    body.size = this->decode_buffer.size();
+    body.data = this->decode_buffer.get();
+    body.size = this->decode_buffer_bytes;
     body.more = true;
     while (this->input.size() > 0 && body.size > 0 && !this->parser->is_done())
     {
-        error_code failure;
-        const std::size_t consumed =
-            this->parser->put(this->input.data(), failure);
-        this->input.consume(consumed);
-        const bool needs_more = failure == http::error::need_buffer ||
-                                failure == http::error::need_more;
-        // A line between chunks that does not end would never be read whole.
-        const bool is_stuck = consumed == 0 && !this->has_room_to_read();
-        this->body_failed |= (failure && !needs_more) || is_stuck;
-        if (this->body_failed || consumed == 0)
+        if (!this->decode_input())
         {
             break;
         }
     }
-    const std::string_view part(this->decode_buffer.data(),
-                                this->decode_buffer.size() - body.size);
+    const std::string_view part(this->decode_buffer.get(),
+                                this->decode_buffer_bytes - body.size);
     this->body_bytes_received += part.size();
     this->store_for_replay(part);
     this->start_read();
     return part;
 }
 
-// Stores the body for another attempt while it fits the buffer.
+// Has the parser take bytes from the input. False when it can take none or the
+// body is malformed.
+bool caller_connection::decode_input()
+{
+    error_code failure;
+    const std::size_t consumed = this->parser->put(this->input.data(), failure);
+    this->input.consume(consumed);
+    this->needs_longer_input = consumed == 0;
+    const bool needs_more = failure == http::error::need_buffer ||
+                            failure == http::error::need_more;
+    // A line between chunks that does not end would never be read whole.
+    const bool is_stuck = consumed == 0 && !this->has_room_to_read();
+    this->body_failed |= (failure && !needs_more) || is_stuck;
+    return !this->body_failed && consumed > 0;
+}
+
+// Stores the body: what is read before it is sent, and then a copy for another
+// attempt while it fits the buffer. If the budget has no room, a body of which
+// nothing has been sent is refused, and that of another loses its copy.
 void caller_connection::store_for_replay(std::string_view part)
 {
     const std::size_t limit =
         std::max<std::size_t>(this->bounds.buffer_bytes, min_chunk_bytes);
-    if (!this->replayable)
+    if (!this->replayable || part.empty())
     {
         return;
     }
-    if (this->replay_body.size() + part.size() > limit)
+    const std::size_t size = this->replay_body.size() + part.size();
+    const bool fits =
+        !this->is_streaming || (this->keeps_copy && size <= limit);
+    if (fits && this->grow_replay_body(size))
     {
-        this->replayable = false;
-        this->replay_body = std::string();
-        return;
+        this->replay_body += part;
+    }
+    else if (this->is_streaming)
+    {
+        this->account.set_copy(0);
+        this->drop_copy();
+    }
+    else
+    {
+        this->refuse_for_memory();
     }
-    this->replay_body += part;
 }
 
 asio::awaitable<bool> caller_connection::prefetch(std::size_t count)
 {
     const core::time_point deadline =
         core::boot_clock::now() + this->bounds.header_timeout;
+    const wait_scope waiting(this->account);
     while (!this->parser->is_done() && this->body_bytes_received < count)
     {
         const std::string_view part = this->decode();
+        if (this->memory_refused)
+        {
+            this->release_buffers();
+            co_return false;
+        }
         if (this->body_failed)
         {
             co_return false;
@@ -353,7 +615,15 @@
         {
             co_return false;
         }
+        this->account.wait_for_request(core::boot_clock::now());
         co_await this->changed.wait_until(deadline);
+        this->account.end_wait();
+    }
+    if (!this->parser->is_done() && !this->reserve_streaming_buffers())
+    {
+        this->refuse_for_memory();
+        this->release_buffers();
+        co_return false;
     }
     co_return true;
 }
@@ -365,6 +635,8 @@
     {
         if (this->replayable && position < this->replay_body.size())
         {
+            // A write from the copy is in progress until the next call.
+            this->account.set_copy(0);
             co_return body_part{
                 std::string_view(this->replay_body).substr(position),
                 this->parser->is_done(), false};
@@ -373,11 +645,15 @@
         {
             co_return body_part{{}, true, false};
         }
+        this->is_streaming = true;
         const std::string_view part = this->decode();
-        if (this->body_failed || this->is_body_too_large())
+        if (this->body_failed || this->is_body_too_large() ||
+            this->memory_refused)
         {
             co_return body_part{{}, false, true};
         }
+        const bool has_copy = this->replayable && !this->parser->is_done();
+        this->account.set_copy(has_copy ? this->replay_body.capacity() : 0);
         if (!part.empty())
         {
             co_return body_part{part, this->parser->is_done(), false};
@@ -600,12 +876,14 @@
         this->stream.socket().shutdown(asio::socket_base::shutdown_send,
                                        ignored);
     }
+    this->release_request_buffers();
     const core::time_point deadline = core::boot_clock::now() + linger_limit;
-    std::size_t discarded = 0;
-    while (!this->is_gone() && discarded < linger_bytes &&
+    this->discarded_bytes = 0;
+    while (!this->is_gone() && !this->ended_by_budget &&
+           this->discarded_bytes < linger_bytes &&
            core::boot_clock::now() < deadline)
     {
-        discarded += this->input.size();
+        this->discarded_bytes += this->input.size();
         this->input.consume(this->input.size());
         this->start_read();
         co_await this->changed.wait_until(deadline);
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -7,12 +7,17 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <medlarbarrow/core/body_budget.hpp>
 #include <medlarbarrow/net/upstream.hpp>
 #include <variant>
 
 namespace medlarbarrow::net
 {
 
+/// Time after which a caller may send a request again that was refused for lack
+/// of memory.
+constexpr std::chrono::milliseconds memory_retry_after{1000};
+
 /// Socket with or without TLS that has the stream interface of Asio.
 class caller_stream
 {
@@ -82,17 +87,22 @@
     closed, ///< no request: caller gone, idle for too long, or draining
     too_large,
     timed_out, ///< only part of the header arrived in time
-    malformed
+    malformed,
+    no_memory ///< refused or ended by the budget of all connections
 };
 
 /// Reads one caller's requests and writes the answers, one after the other.
 /// Must be owned by a shared pointer, since a read may be outstanding at any
 /// time.
-class caller_connection : public caller_channel
+class caller_connection : public caller_channel, private core::body_holder
 {
 public:
+    /// `client` is the address whose share of the budget the connection uses.
+    /// Without a budget the memory is not limited.
     caller_connection(caller_stream&& accepted,
-                      const config::entry_bounds& limits);
+                      const config::entry_bounds& limits,
+                      std::shared_ptr<core::body_budget> budget = nullptr,
+                      std::string client = {});
 
     /// Does the TLS handshake, if TLS is used, within the header timeout. False
     /// when it failed.
@@ -104,8 +114,8 @@
     const http::request_header<>& header() const;
 
     /// Reads the first `count` bytes of the body, or all of a shorter one.
-    /// False when the body is malformed, too slow or cut off by a caller that
-    /// left.
+    /// False when the body is malformed, too slow, refused for lack of memory
+    /// or cut off by a caller that left.
     asio::awaitable<bool> prefetch(std::size_t count);
 
     /// Leading part of the body that is buffered for another attempt.
@@ -114,6 +124,12 @@
         return this->replay_body;
     }
 
+    /// From now on nothing of the body is kept that has been sent.
+    void keep_no_copy()
+    {
+        this->keeps_copy = false;
+    }
+
     /// Makes a body of more than `bytes` bytes a failure.
     void limit_body(std::uint64_t bytes)
     {
@@ -138,6 +154,13 @@
         return this->body_failed;
     }
 
+    /// True when the budget of all connections has refused or ended the
+    /// request.
+    bool is_memory_refused() const
+    {
+        return this->memory_refused;
+    }
+
     /// Writes `text` unchanged. False when the caller is gone.
     asio::awaitable<bool> write(std::string_view text);
 
@@ -193,9 +216,6 @@
     /// during a request and when bytes of the next request have arrived.
     std::optional<core::time_point> idle_since();
 
-    /// Closes an idle connection to make room for another one.
-    void evict();
-
     asio::awaitable<body_part> read_body(std::uint64_t position,
                                          const bool& stopped) override;
     void wake() override;
@@ -208,6 +228,22 @@
 private:
     using parser_type = http::request_parser<http::buffer_body>;
 
+    bool is_idle() override;
+    void evict() override;
+    void end_stopped() override;
+    void drop_copy() override;
+    std::size_t buffer_bytes() const;
+    bool hold_memory();
+    bool hold_memory(std::size_t more_bytes);
+    void refuse_for_memory();
+    void release_buffers();
+    void release_request_buffers();
+    bool reserve_streaming_buffers();
+    std::size_t max_decode_bytes() const;
+    bool grow_decode_buffer(std::size_t bytes);
+    bool grow_replay_body(std::size_t bytes);
+    bool store_input(std::size_t count);
+    std::size_t input_limit() const;
     std::shared_ptr<caller_connection> shared_self();
     bool has_room_to_read() const;
     void start_read();
@@ -216,6 +252,7 @@
     std::string_view buffered() const;
     head_status parse_head(std::size_t length);
     std::string_view decode();
+    bool decode_input();
     void store_for_replay(std::string_view part);
     asio::awaitable<bool>
     write_buffers(const std::array<asio::const_buffer, 4>& buffers);
@@ -225,6 +262,7 @@
     void close_socket();
 
     config::entry_bounds bounds;
+    core::body_account account;
     caller_stream stream;
     signal changed;
     asio::steady_timer operation_timer;
@@ -244,8 +282,16 @@
 
     std::optional<parser_type> parser;
     std::string replay_body; ///< body from its start while `replayable`
-    std::vector<char> decode_buffer;
+    std::unique_ptr<char[]> decode_buffer;
+    std::size_t decode_buffer_bytes = 0;
     bool replayable = true;
+    bool keeps_copy = true;          ///< of a body that is being sent
+    bool is_streaming = false;       ///< part of the body has gone to a server
+    bool needs_longer_input = false; ///< the parser cannot use what there is
+    bool memory_refused = false;
+    bool ended_by_budget = false;    ///< while it had stopped
+    bool in_handshake = false;       ///< of TLS
+    std::size_t discarded_bytes = 0; ///< arrived after a refusal
     bool body_failed = false;
     std::uint64_t body_bytes_received = 0;
     std::uint64_t body_limit = 0;
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -17,8 +17,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Pause after accept() failed for lack of file descriptors, and between two
-/// searches for an idle connection that can be closed to admit a new one.
+/// Pause after accept() failed for lack of file descriptors, unless a
+/// connection ends before.
 constexpr milliseconds accept_pause{100};
 
 /// Interval between two closings of aged idle connections to servers.
@@ -131,31 +131,13 @@
                : limit->second;
 }
 
-// Closes the connection that has been idle longest, if any is idle.
-void entry::state::evict_longest_idle()
-{
-    session* oldest = nullptr;
-    for (session* candidate : this->sessions)
-    {
-        const auto since = candidate->connection().idle_since();
-        if (since &&
-            (oldest == nullptr || *since < *oldest->connection().idle_since()))
-        {
-            oldest = candidate;
-        }
-    }
-    if (oldest != nullptr)
-    {
-        oldest->connection().evict();
-    }
-}
-
 // Starts a session for an accepted connection.
-void entry::state::open_session(tcp::socket&& socket)
+void entry::state::open_session(tcp::socket&& socket,
+                                const asio::ip::address& client)
 {
     ++this->counts.connections_accepted;
-    const auto new_session =
-        std::make_shared<session>(this->shared_from_this(), std::move(socket));
+    const auto new_session = std::make_shared<session>(
+        this->shared_from_this(), std::move(socket), client.to_string());
     this->sessions.insert(new_session.get());
     if (this->draining)
     {
@@ -170,35 +152,37 @@
     while (!this->draining)
     {
         error_code failure;
+        tcp::endpoint client;
         tcp::socket socket = co_await this->acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, failure));
+            client, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
         {
-            co_await this->wait_for_capacity();
-            this->open_session(std::move(socket));
+            this->admit_caller(std::move(socket), client.address());
         }
         else if (failure != asio::error::operation_aborted)
         {
             log::write(log::level::warning, "accept_failed",
                        {log::kv("reason", failure.message())});
+            this->bodies->free_connection();
             co_await this->capacity_changed.wait_until(core::boot_clock::now() +
                                                        accept_pause);
         }
     }
 }
 
-// Waits until another connection fits the limit, closing idle connections to
-// make room.
-asio::awaitable<void> entry::state::wait_for_capacity()
+// Starts a session, or closes the connection if there are too many.
+void entry::state::admit_caller(tcp::socket&& socket,
+                                const asio::ip::address& client)
 {
-    while (!this->draining &&
-           this->sessions.size() >= this->settings.bounds.max_connections)
+    const std::string name = client.to_string();
+    if (this->bodies->admit(name))
     {
-        this->evict_longest_idle();
-        // No signal tells when a connection becomes idle, so poll.
-        co_await this->capacity_changed.wait_until(core::boot_clock::now() +
-                                                   accept_pause);
+        this->open_session(std::move(socket), client);
+        return;
     }
+    log::write(log::level::warning, "connection_refused",
+               {log::kv("client", name),
+                log::kv("open", this->bodies->connections())});
 }
 
 // Closing the listener would reset the connections that the system has already
@@ -211,10 +195,11 @@
     while (!failure)
     {
         tcp::socket socket(this->io);
-        this->acceptor.accept(socket, failure);
+        tcp::endpoint client;
+        this->acceptor.accept(socket, client, failure);
         if (!failure)
         {
-            this->open_session(std::move(socket));
+            this->open_session(std::move(socket), client.address());
         }
     }
     this->acceptor.close(failure);
@@ -421,6 +406,7 @@
 {
     entry_counters snapshot = this->self->counts;
     snapshot.connections_open = this->self->sessions.size();
+    snapshot.bodies = this->self->bodies->counters();
     snapshot.servers = this->self->servers.counters();
     return snapshot;
 }
--- a/medlarbarrow/net/entry.hpp
+++ b/medlarbarrow/net/entry.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <medlarbarrow/config/settings.hpp>
+#include <medlarbarrow/core/body_budget.hpp>
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/shutdown.hpp>
 #include <medlarbarrow/net/upstream.hpp>
@@ -49,7 +50,8 @@
     std::uint64_t answers_cut_off = 0; ///< connection reset before its end
     std::uint64_t callers_gone = 0;
     std::map<core::result_code, std::uint64_t> refusals;
-    latency_histogram latency; ///< from header read to last byte written
+    core::body_counters bodies; ///< and connections refused
+    latency_histogram latency;  ///< from header read to last byte written
     upstream_counters servers;
 };
 
--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -139,6 +139,11 @@
         co_await this->refuse_for_shutdown();
         co_return;
     }
+    if (status == head_status::no_memory)
+    {
+        co_await this->refuse_for_memory();
+        co_return;
+    }
     core::step_refuse refusal;
     refusal.code = result_code::bad_request;
     if (status == head_status::too_large)
@@ -193,6 +198,11 @@
     }
     if (!co_await this->caller->prefetch(digested_body_bytes))
     {
+        if (this->caller->is_memory_refused())
+        {
+            co_await this->refuse_for_memory();
+            co_return false;
+        }
         if (this->shared->sending_stopped && !this->caller->is_body_malformed())
         {
             co_await this->refuse_for_shutdown();
@@ -410,6 +420,18 @@
     co_await this->refuse(refusal);
 }
 
+// Refuses a request of which nothing has gone to a server, because all requests
+// that are arriving hold too much memory. As above for an order.
+asio::awaitable<void> entry::state::session::refuse_for_memory()
+{
+    core::step_refuse refusal;
+    refusal.code = result_code::request_memory_exhausted;
+    refusal.outcome_unknown = !this->request.facts.idempotency_key.empty();
+    refusal.retry_after = memory_retry_after;
+    this->caller->close_after_answer();
+    co_await this->refuse(refusal);
+}
+
 // Ends a request for which no server was found before the end of the shutdown.
 asio::awaitable<entry::state::session::progress>
 entry::state::session::give_up_for_shutdown()
--- a/medlarbarrow/net/entry_state.hpp
+++ b/medlarbarrow/net/entry_state.hpp
@@ -23,15 +23,27 @@
           send(std::move(send_to_peers)), acceptor(context),
           sweep_timer(context), waiting_timer(context), running_timer(context),
           exit_timer(context), capacity_changed(context.get_executor()),
+          bodies(std::make_shared<core::body_budget>(
+              make_body_limits(entry_settings.bounds))),
           servers(context.get_executor(), entry_settings.bounds)
     {
     }
 
+    static core::body_limits
+    make_body_limits(const config::entry_bounds& bounds)
+    {
+        core::body_limits limits;
+        limits.bytes = bounds.max_arriving_bytes;
+        limits.connections = bounds.max_connections;
+        return limits;
+    }
+
     void flush(core::outbox& out);
     asio::awaitable<void> accept_callers();
-    asio::awaitable<void> wait_for_capacity();
-    void open_session(asio::ip::tcp::socket&& socket);
-    void evict_longest_idle();
+    void admit_caller(asio::ip::tcp::socket&& socket,
+                      const asio::ip::address& client);
+    void open_session(asio::ip::tcp::socket&& socket,
+                      const asio::ip::address& client);
     void close_acceptor();
     void remove(session& ended_session);
     void sweep();
@@ -57,6 +69,7 @@
     asio::steady_timer running_timer; ///< runs end_running() in a drain
     asio::steady_timer exit_timer;    ///< runs begin_exit() in a drain
     signal capacity_changed; ///< a connection ended or drain() was called
+    std::shared_ptr<core::body_budget> bodies;
     upstream servers;
     entry_counters counts;
     std::unordered_map<std::string, std::uint64_t> body_limits;
@@ -74,11 +87,15 @@
     : public std::enable_shared_from_this<entry::state::session>
 {
 public:
-    session(std::shared_ptr<state> entry_state, asio::ip::tcp::socket&& socket)
+    session(std::shared_ptr<state> entry_state,
+            asio::ip::tcp::socket&& socket,
+            std::string client)
         : shared(std::move(entry_state)),
           caller(std::make_shared<caller_connection>(
               caller_stream(std::move(socket), this->shared->tls.get()),
-              this->shared->settings.bounds)),
+              this->shared->settings.bounds,
+              this->shared->bodies,
+              std::move(client))),
           cut_changed(this->shared->io.get_executor())
     {
     }
@@ -121,6 +138,7 @@
     asio::awaitable<void> refuse(const core::step_refuse& refusal);
     asio::awaitable<void> refuse_body();
     asio::awaitable<void> refuse_for_shutdown();
+    asio::awaitable<void> refuse_for_memory();
     asio::awaitable<progress> give_up_for_shutdown();
     asio::awaitable<void> answer_outcome_unknown();
     void finish_attempt(const core::attempt_result& result);
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -501,6 +501,7 @@
                 gateway_counts.servers.answers_damaged);
     add_counter("source_calls_total", source_counts.calls);
     add_counter("source_calls_failed_total", source_counts.failed_calls);
+    text += format_counters(gateway_counts.bodies);
     text += format_spreads(this->fleet_peers->spreads());
     const published_counters& published_counts =
         this->published_data.counters();
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -27,14 +27,15 @@
 } // namespace
 
 // An exception ends this connection only, not the loop that accepts others.
-void gateway::state::start_session(tcp::socket&& socket)
+void gateway::state::start_session(tcp::socket&& socket,
+                                   const asio::ip::address& client)
 {
     ++this->counts.connections_accepted;
     std::shared_ptr<session> opened;
     try
     {
-        opened = std::make_shared<session>(this->shared_from_this(),
-                                           std::move(socket));
+        opened = std::make_shared<session>(
+            this->shared_from_this(), std::move(socket), client.to_string());
         this->sessions.insert(opened.get());
         if (this->plan)
         {
@@ -54,26 +55,28 @@
     }
 }
 
-// Evicts the connection that has been idle for the longest time; false if none
-// is idle.
-bool gateway::state::evict_oldest_idle()
+// Starts a session, or closes the connection if there are too many. An
+// exception ends this connection only.
+void gateway::state::admit_caller(tcp::socket&& socket,
+                                  const asio::ip::address& client)
 {
-    session* oldest = nullptr;
-    core::time_point oldest_since{};
-    for (session* candidate : this->sessions)
+    try
     {
-        const auto since = candidate->connection().idle_since();
-        if (since && (oldest == nullptr || *since < oldest_since))
+        const std::string name = client.to_string();
+        if (this->bodies->admit(name))
         {
-            oldest = candidate;
-            oldest_since = *since;
+            this->start_session(std::move(socket), client);
+            return;
         }
+        log::write(log::level::warning, "connection_refused",
+                   {log::kv("client", name),
+                    log::kv("open", this->bodies->connections())});
     }
-    if (oldest != nullptr)
+    catch (const std::exception& failure)
     {
-        oldest->connection().evict();
+        log::write(log::level::error, "session_failed",
+                   {log::kv("reason", failure.what())});
     }
-    return oldest != nullptr;
 }
 
 asio::awaitable<void> gateway::state::accept_callers()
@@ -82,21 +85,18 @@
     while (!this->stopping)
     {
         error_code failure;
+        tcp::endpoint client;
         tcp::socket socket = co_await this->acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, failure));
+            client, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
         {
-            if (this->sessions.size() >= this->settings.max_connections)
-            {
-                this->evict_oldest_idle();
-            }
-            this->start_session(std::move(socket));
+            this->admit_caller(std::move(socket), client.address());
         }
         else if (failure != asio::error::operation_aborted)
         {
             log::write(log::level::warning, "accept_failed",
                        {log::kv("reason", failure.message())});
-            this->evict_oldest_idle();
+            this->bodies->free_connection();
             co_await this->capacity_freed.wait_until(now() + accept_pause);
         }
     }
@@ -274,10 +274,11 @@
     while (!failure)
     {
         tcp::socket socket(impl.io);
-        impl.acceptor.accept(socket, failure);
+        tcp::endpoint client;
+        impl.acceptor.accept(socket, client, failure);
         if (!failure)
         {
-            impl.start_session(std::move(socket));
+            impl.start_session(std::move(socket), client.address());
         }
     }
     impl.acceptor.close(failure);
@@ -294,6 +295,7 @@
 gateway_counters gateway::counters() const
 {
     gateway_counters totals = this->self->counts;
+    totals.bodies = this->self->bodies->counters();
     totals.servers = this->self->connections.counters();
     return totals;
 }
--- a/medlarbarrow/net/gateway.hpp
+++ b/medlarbarrow/net/gateway.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <medlarbarrow/core/accounts.hpp>
+#include <medlarbarrow/core/body_budget.hpp>
 #include <medlarbarrow/core/routes.hpp>
 #include <medlarbarrow/core/shutdown.hpp>
 #include <medlarbarrow/net/entry.hpp>
@@ -34,6 +35,7 @@
     std::uint64_t stop_cut = 0;    ///< were running at the end of a shutdown
     std::uint64_t turned_away = 0; ///< refusals of servers with a Retry-After
     std::map<core::result_code, std::uint64_t> refusals;
+    core::body_counters bodies; ///< and connections refused
     upstream_counters servers;
 };
 
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -186,6 +186,11 @@
         co_return;
     }
     this->caller->close_after_answer();
+    if (status == head_status::no_memory)
+    {
+        co_await this->refuse_for_memory();
+        co_return;
+    }
     result_code code = result_code::bad_request;
     if (status == head_status::too_large)
     {
@@ -357,6 +362,11 @@
         co_await this->caller->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     const bool read = co_await this->caller->prefetch(replay_buffer_bytes);
+    if (this->caller->is_memory_refused())
+    {
+        co_await this->refuse_for_memory();
+        co_return false;
+    }
     if (!read || this->caller->is_body_too_large())
     {
         result_code code = result_code::caller_gone;
@@ -422,7 +432,12 @@
 asio::awaitable<void> gateway::state::session::run_flow()
 {
     this->service = this->shared->splitter.choose_service(*this->route);
-    this->flow.emplace(this->make_flow_terms());
+    const core::flow_terms terms = this->make_flow_terms();
+    if (!terms.body_replayable)
+    {
+        this->caller->keep_no_copy();
+    }
+    this->flow.emplace(terms);
     if (this->shared->sending_stopped)
     {
         this->flow->stop_sending(this->shutdown_refusal());
@@ -570,6 +585,15 @@
     co_await this->refuse(result_code::shutting_down, false, retry_after);
 }
 
+// Refuses a request of which nothing has gone to a server, because all requests
+// that are arriving hold too much memory.
+asio::awaitable<void> gateway::state::session::refuse_for_memory()
+{
+    this->caller->close_after_answer();
+    co_await this->refuse(result_code::request_memory_exhausted, false,
+                          memory_retry_after);
+}
+
 // `waited`: at the end of the shutdown the request still waited for a server or
 // had arrived only in part. Otherwise it came too late to be sent to a server.
 void gateway::state::session::count_shutdown_refusal(bool waited)
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -60,6 +60,8 @@
           servers(registry), acceptor(context), maintenance_timer(context),
           capacity_freed(context.get_executor()),
           bounds(make_bounds(initial_settings)),
+          bodies(std::make_shared<core::body_budget>(
+              make_body_limits(initial_settings))),
           connections(context.get_executor(),
                       this->bounds,
                       initial_settings.names,
@@ -76,9 +78,18 @@
         return bounds;
     }
 
+    static core::body_limits make_body_limits(const gateway_settings& settings)
+    {
+        core::body_limits limits;
+        limits.connections = settings.max_connections;
+        return limits;
+    }
+
     asio::awaitable<void> accept_callers();
-    void start_session(asio::ip::tcp::socket&& socket);
-    bool evict_oldest_idle();
+    void admit_caller(asio::ip::tcp::socket&& socket,
+                      const asio::ip::address& client);
+    void start_session(asio::ip::tcp::socket&& socket,
+                       const asio::ip::address& client);
     void on_session_end(session& ended);
     void run_maintenance();
     void notify_if_drained();
@@ -99,6 +110,7 @@
     asio::steady_timer maintenance_timer;
     signal capacity_freed; ///< a session has ended, or stop() was called
     config::entry_bounds bounds;
+    std::shared_ptr<core::body_budget> bodies;
     upstream connections;
     const std::shared_ptr<answer_memory> buffered_answers =
         std::make_shared<answer_memory>(answer_memory{max_answers_bytes, 0});
@@ -121,10 +133,14 @@
 {
 public:
     session(std::shared_ptr<state> gateway_state,
-            asio::ip::tcp::socket&& socket)
+            asio::ip::tcp::socket&& socket,
+            std::string client)
         : shared(std::move(gateway_state)),
           caller(std::make_shared<caller_connection>(
-              caller_stream(std::move(socket), nullptr), this->shared->bounds)),
+              caller_stream(std::move(socket), nullptr),
+              this->shared->bounds,
+              this->shared->bodies,
+              std::move(client))),
           progress(this->shared->io.get_executor())
     {
     }
@@ -192,6 +208,7 @@
     bool comes_too_late() const;
     bool can_end(const attempt& current) const;
     asio::awaitable<void> refuse_for_shutdown(bool waited);
+    asio::awaitable<void> refuse_for_memory();
     void count_shutdown_refusal(bool waited);
     void count_cut(std::string_view answer);
     std::string format_sends() const;
--- a/medlarbarrow/net/instance.cpp
+++ b/medlarbarrow/net/instance.cpp
@@ -447,7 +447,8 @@
         {
             this->instance_metrics.set_view(this->latest_snapshot.view);
             this->count_traffic();
-            return this->instance_metrics.text();
+            return this->instance_metrics.text() +
+                   format_counters(this->latest_snapshot.counters.bodies);
         };
         sources.ready = [this]
         {
--- a/medlarbarrow/net/metrics.cpp
+++ b/medlarbarrow/net/metrics.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <fmt/format.h>
 #include <map>
 #include <medlarbarrow/net/metrics.hpp>
 #include <mutex>
@@ -280,4 +281,20 @@
         this->self->registry.Collect());
 }
 
+std::string format_counters(const core::body_counters& counts)
+{
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value)
+    {
+        text += fmt::format("# TYPE medlarbarrow_{0} counter\n"
+                            "medlarbarrow_{0} {1}\n",
+                            name, value);
+    };
+    add("requests_refused_for_memory_total", counts.requests_refused);
+    add("stopped_requests_ended_total", counts.stopped_ended);
+    add("body_copies_dropped_total", counts.copies_dropped);
+    add("connections_refused_total", counts.connections_refused);
+    return text;
+}
+
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/metrics.hpp
+++ b/medlarbarrow/net/metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <medlarbarrow/core/body_budget.hpp>
 #include <medlarbarrow/core/messages.hpp>
 #include <medlarbarrow/core/node.hpp>
 #include <medlarbarrow/core/result_codes.hpp>
@@ -79,4 +80,8 @@
     std::unique_ptr<state> self;
 };
 
+/// What the budget of callers' connections has refused and ended, in the
+/// Prometheus text format.
+std::string format_counters(const core::body_counters& counts);
+
 } // namespace medlarbarrow::net
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -76,6 +76,7 @@
     this->source["bounds"] = {{"max_connections", 10},
                               {"max_header_bytes", 2048},
                               {"buffer_bytes", 8192},
+                              {"max_arriving_bytes", 2097152},
                               {"idle_timeout_ms", 500},
                               {"header_timeout_ms", 400}};
     this->source["caller_tls"] = {{"certificate_file", "c"}, {"key_file", "k"}};
@@ -88,6 +89,7 @@
     const auto parsed =
         std::get<config::settings>(config::parse_settings(this->source.dump()));
     EXPECT_EQ(parsed.bounds.buffer_bytes, 8192U);
+    EXPECT_EQ(parsed.bounds.max_arriving_bytes, 2097152U);
     EXPECT_EQ(parsed.bounds.header_timeout, std::chrono::milliseconds(400));
     EXPECT_EQ(parsed.peer_tls->authority_file, "a");
     EXPECT_EQ(parsed.seeds.at(0).address, "::1");
