--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -319,7 +319,7 @@
     answer_head head;
     std::vector<char> part_buffer; ///< grows with the answer
     std::size_t part_limit;        ///< bytes that `part_buffer` may take
-    std::size_t filled = 0; ///< bytes of `part_buffer` in use
+    std::size_t filled = 0;        ///< bytes of `part_buffer` in use
     core::stored_answer stored;
     bool answer_fits = true;
 };
