Give free memory back to the system after a crowd of callers

The allocator kept what a crowd had used: after 2,900 bodies of 20 KB medlard stayed at 101 MB of resident memory although all requests had ended. When the bytes or the connections have fallen to a quarter of a large peak, the maintenance of both programs now has the allocator release its free pages once.

--- a/medlarbarrow/core/body_budget.cpp
+++ b/medlarbarrow/core/body_budget.cpp
@@ -10,6 +10,11 @@
 /// One client gets at most this part of each limit.
 constexpr std::size_t client_divisor = 2;
 
+/// A fall is one to this part of the peak, if the peak was large.
+constexpr std::size_t fall_divisor = 4;
+constexpr std::size_t large_bytes = std::size_t{8} << 20U;
+constexpr std::size_t large_connections = 512;
+
 bool is_any_client(const auto& /*account*/)
 {
     return true;
@@ -33,6 +38,8 @@
     ++added->client->second.accounts;
     ++added->client->second.connections;
     ++this->open_connections;
+    this->peak_connections =
+        std::max(this->peak_connections, this->open_connections);
     return added;
 }
 
@@ -187,6 +194,24 @@
                                     this->limits.stopped_after);
 }
 
+bool body_budget::take_fall()
+{
+    const bool bytes_fell = this->peak_bytes >= large_bytes &&
+                            this->used_bytes < this->peak_bytes / fall_divisor;
+    const bool connections_fell =
+        this->peak_connections >= large_connections &&
+        this->open_connections < this->peak_connections / fall_divisor;
+    if (bytes_fell)
+    {
+        this->peak_bytes = this->used_bytes;
+    }
+    if (connections_fell)
+    {
+        this->peak_connections = this->open_connections;
+    }
+    return bytes_fell || connections_fell;
+}
+
 bool body_budget::admit(const std::string& client)
 {
     const time_point current_time = this->now();
@@ -286,6 +311,8 @@
     client_bytes = client_bytes - account.held + bytes;
     this->budget->used_bytes = this->budget->used_bytes - account.held + bytes;
     account.held = bytes;
+    this->budget->peak_bytes =
+        std::max(this->budget->peak_bytes, this->budget->used_bytes);
 }
 
 void body_account::count_refusal()
--- a/medlarbarrow/core/body_budget.hpp
+++ b/medlarbarrow/core/body_budget.hpp
@@ -77,6 +77,10 @@
     /// request that has been stopped for longest. False if there is none.
     bool free_connection();
 
+    /// True once after the held bytes or the connections have fallen to a small
+    /// part of what they were: free memory can be given back to the system.
+    bool take_fall();
+
     std::size_t used() const noexcept
     {
         return this->used_bytes;
@@ -144,6 +148,8 @@
     client_map clients;
     std::size_t used_bytes = 0;
     std::size_t open_connections = 0;
+    std::size_t peak_bytes = 0;       ///< since the last fall
+    std::size_t peak_connections = 0; ///< since the last fall
     time_point crowded_until{};
     body_counters counts;
 };
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -113,7 +113,7 @@
 caller_connection::caller_connection(caller_stream&& accepted,
                                      const config::entry_bounds& limits,
                                      std::shared_ptr<core::body_budget> budget,
-                                     std::string client)
+                                     const std::string& client)
     : bounds(limits), account(std::move(budget), client, *this),
       stream(std::move(accepted)), changed(this->stream.get_executor()),
       operation_timer(this->stream.get_executor()),
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -102,7 +102,7 @@
     caller_connection(caller_stream&& accepted,
                       const config::entry_bounds& limits,
                       std::shared_ptr<core::body_budget> budget = nullptr,
-                      std::string client = {});
+                      const std::string& client = {});
 
     /// Does the TLS handshake, if TLS is used, within the header timeout. False
     /// when it failed.
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ssl/context.hpp>
+#include <malloc.h>
 #include <medlarbarrow/net/entry_state.hpp>
 #include <medlarbarrow/net/log.hpp>
 
@@ -234,10 +235,15 @@
     callback();
 }
 
-// Closes aged idle connections to servers, now and every sweep_period.
+// Closes aged idle connections to servers and gives memory back that a crowd of
+// callers has used, now and every sweep_period.
 void entry::state::sweep()
 {
     this->servers.close_unusable_idle();
+    if (this->bodies->take_fall())
+    {
+        ::malloc_trim(0);
+    }
     this->sweep_timer.expires_after(sweep_period);
     this->sweep_timer.async_wait(
         [weak = this->weak_from_this()](error_code failure)
--- a/medlarbarrow/net/entry_state.hpp
+++ b/medlarbarrow/net/entry_state.hpp
@@ -89,13 +89,13 @@
 public:
     session(std::shared_ptr<state> entry_state,
             asio::ip::tcp::socket&& socket,
-            std::string client)
+            const std::string& client)
         : shared(std::move(entry_state)),
           caller(std::make_shared<caller_connection>(
               caller_stream(std::move(socket), this->shared->tls.get()),
               this->shared->settings.bounds,
               this->shared->bodies,
-              std::move(client))),
+              client)),
           cut_changed(this->shared->io.get_executor())
     {
     }
--- a/medlarbarrow/net/gateway.cpp
+++ b/medlarbarrow/net/gateway.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <malloc.h>
 #include <medlarbarrow/net/gateway_state.hpp>
 #include <medlarbarrow/net/log.hpp>
 
@@ -118,11 +119,16 @@
     }
 }
 
-// Closes connections to servers that have been idle for too long and passes on
-// the number of live instances, once per maintenance_period.
+// Closes connections to servers that have been idle for too long, passes on the
+// number of live instances and gives memory back that a crowd of callers has
+// used, once per maintenance_period.
 void gateway::state::run_maintenance()
 {
     this->connections.close_unusable_idle();
+    if (this->bodies->take_fall())
+    {
+        ::malloc_trim(0);
+    }
     this->connections.set_max_instances(
         static_cast<std::uint32_t>(this->peers.live_count()));
     this->maintenance_timer.expires_after(maintenance_period);
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -134,13 +134,13 @@
 public:
     session(std::shared_ptr<state> gateway_state,
             asio::ip::tcp::socket&& socket,
-            std::string client)
+            const std::string& client)
         : shared(std::move(gateway_state)),
           caller(std::make_shared<caller_connection>(
               caller_stream(std::move(socket), nullptr),
               this->shared->bounds,
               this->shared->bodies,
-              std::move(client))),
+              client)),
           progress(this->shared->io.get_executor())
     {
     }
--- a/tests/body_budget_test.cpp
+++ b/tests/body_budget_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_TRUE(this->open("b")->hold(500));
 }
 
+// Guards against memory of a crowd that is kept after it, and against giving
+// memory back again and again.
+TEST_F(a_body_budget, tells_once_that_much_has_been_given_back)
+{
+    constexpr std::size_t large_bytes = std::size_t{16} << 20U;
+    this->budget = std::make_shared<core::body_budget>(
+        core::body_limits{2 * large_bytes, limit_connections});
+    const auto first = this->open("a");
+    EXPECT_TRUE(first->hold(large_bytes));
+    EXPECT_FALSE(this->budget->take_fall());
+    EXPECT_TRUE(first->hold(large_bytes / 2));
+    EXPECT_FALSE(this->budget->take_fall());
+    EXPECT_TRUE(first->hold(0));
+    EXPECT_TRUE(this->budget->take_fall());
+    EXPECT_FALSE(this->budget->take_fall());
+}
+
 /// It is used up by two bodies of one client each.
 class an_exhausted_body_budget : public a_body_budget
 {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -73,12 +73,10 @@
 // Guards against an optional member that is rejected or not read.
 TEST_F(settings_of_an_instance, may_set_every_member)
 {
-    this->source["bounds"] = {{"max_connections", 10},
-                              {"max_header_bytes", 2048},
-                              {"buffer_bytes", 8192},
-                              {"max_arriving_bytes", 2097152},
-                              {"idle_timeout_ms", 500},
-                              {"header_timeout_ms", 400}};
+    this->source["bounds"] = {
+        {"max_connections", 10},  {"max_header_bytes", 2048},
+        {"buffer_bytes", 8192},   {"max_arriving_bytes", 2097152},
+        {"idle_timeout_ms", 500}, {"header_timeout_ms", 400}};
     this->source["caller_tls"] = {{"certificate_file", "c"}, {"key_file", "k"}};
     this->source["peer_tls"] = {
         {"certificate_file", "c"}, {"key_file", "k"}, {"authority_file", "a"}};
