Keep half of the slots from bodies that are still arriving

Callers that stop just short of the end held the slots of a service until the route's timeout, and ordinary requests got none.

A place call now says that the body has not arrived whole. The owner lets such requests hold at most half of the slots of the shard's trusted servers and of each server, at least one in both cases; the others wait without keeping whole requests from a free slot or from their estimated wait. They are a kind of work of their own, raise no suspicion while they take long, and serve as no probe. The element is left out for whole bodies, so their messages keep their bytes.

--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -210,13 +210,18 @@
 
 // How far the slowest running request of each server is past the typical
 // duration of its work, from 0.3 at `slow_request_ratio` to 1 shortly before it
-// is overdue and after. Servers without a slow request are left out.
+// is overdue and after. Servers without a slow request are left out. A request
+// whose body was still arriving may be slow because of its caller.
 std::map<std::string_view, double>
 placement::slowness_by_server(time_point now) const
 {
     std::map<std::string_view, double> slowness;
     for (const auto& [id, active] : this->grants)
     {
+        if (active.request.body_arriving)
+        {
+            continue;
+        }
         const double slow_after =
             slow_request_ratio *
             in_seconds(this->typical_duration(active.request));
@@ -293,7 +298,8 @@
 placement::server_state*
 placement::server_due_for_probe(const place_request& request, time_point now)
 {
-    if (!request.repeatable || request.repeat || !this->repeats.has_room(now) ||
+    if (!request.repeatable || request.repeat || request.body_arriving ||
+        !this->repeats.has_room(now) ||
         request.time_to_objective <
             this->overdue_after(request) + this->typical_duration(request) ||
         (this->queue.empty() && this->needs_spread(now)))
@@ -337,6 +343,7 @@
     }
     active.expires_at = now + request.time_to_deadline + grant_expiry_margin;
     ++server.running;
+    server.arriving_bodies += request.body_arriving ? 1 : 0;
     server.last_work = now;
     server.has_had_work = true;
     server.last_send_by_instance[request.grant.instance] = now;
@@ -352,12 +359,16 @@
 
 // Estimated wait of a request of this rank: the typical durations of the
 // requests that wait ahead of it, divided by the slots of all trusted servers.
-duration placement::expected_wait(std::uint32_t rank, time_point now) const
+// Requests whose bodies are still arriving are not ahead of others.
+duration placement::expected_wait(std::uint32_t rank,
+                                  bool body_arriving,
+                                  time_point now) const
 {
     double work_ahead = 0.0;
     for (const queued_request& waiting : this->queue)
     {
-        if (waiting.request.rank <= rank)
+        if (waiting.request.rank <= rank &&
+            (body_arriving || !waiting.request.body_arriving))
         {
             work_ahead += in_seconds(this->typical_duration(waiting.request));
         }
@@ -373,8 +384,8 @@
 // Refuses with a Retry-After of twice the estimated wait of the whole queue.
 place_refused placement::make_refusal(result_code code, time_point now) const
 {
-    const duration wait =
-        this->expected_wait(std::numeric_limits<std::uint32_t>::max(), now);
+    const duration wait = this->expected_wait(
+        std::numeric_limits<std::uint32_t>::max(), true, now);
     return {code, std::max<duration>(2 * wait, min_retry_after)};
 }
 
@@ -415,6 +426,32 @@
     return this->decide(request, now);
 }
 
+// Places the request if a server can take it at once.
+std::optional<place_answer> placement::place_now(const place_request& request,
+                                                 time_point now)
+{
+    if (server_state* server = this->server_due_for_probe(request, now))
+    {
+        return this->grant(request, *server, now);
+    }
+    const overview servers_now = this->make_overview(now);
+    if (auto placed = this->place_on_idle_server(request, servers_now, now))
+    {
+        return placed;
+    }
+    // Waiting requests go first.
+    if (this->has_request_ahead(request))
+    {
+        return std::nullopt;
+    }
+    if (server_state* server =
+            this->choose_server(request, false, servers_now, now))
+    {
+        return this->grant(request, *server, now);
+    }
+    return std::nullopt;
+}
+
 // Decides about a request that is neither running nor waiting.
 place_answer placement::decide(const place_request& request, time_point now)
 {
@@ -434,26 +471,15 @@
     {
         return this->make_refusal(result_code::server_shed, now);
     }
-    if (server_state* server = this->server_due_for_probe(request, now))
-    {
-        return this->grant(request, *server, now);
-    }
-    const overview servers_now = this->make_overview(now);
-    if (const auto placed =
-            this->place_on_idle_server(request, servers_now, now))
-    {
-        return *placed;
-    }
-    // Waiting requests go first.
-    if (this->queue.empty())
+    if (!this->must_wait_for_slot(request, now))
     {
-        if (server_state* server =
-                this->choose_server(request, false, servers_now, now))
+        if (const auto placed = this->place_now(request, now))
         {
-            return this->grant(request, *server, now);
+            return *placed;
         }
     }
-    const duration wait = this->expected_wait(request.rank, now);
+    const duration wait =
+        this->expected_wait(request.rank, request.body_arriving, now);
     if (wait + this->typical_duration(request) >
         std::min(request.time_to_objective, request.time_to_deadline))
     {
@@ -506,6 +532,9 @@
     if (server != this->servers.end() && server->second.running > 0)
     {
         --server->second.running;
+        const bool was_arriving =
+            ended.request.body_arriving && server->second.arriving_bodies > 0;
+        server->second.arriving_bodies -= was_arriving ? 1 : 0;
     }
     // An overdue send has been counted when it became overdue.
     if (outcome != send_outcome::cancelled && !ended.overdue)
@@ -574,13 +603,16 @@
 
 // A request that runs far longer than its kind of work usually does raises the
 // suspicion of its server while it still runs: further requests would be lost
-// to the server until it ends. Grants that have expired are cancelled.
+// to the server until it ends. One whose body was still arriving may run long
+// because of its caller, and raises none. Grants that have expired are
+// cancelled.
 void placement::check_active_grants(time_point now)
 {
     std::vector<grant_id> expired;
     for (auto& [id, active] : this->grants)
     {
-        if (!active.overdue && now >= active.overdue_at)
+        if (!active.overdue && !active.request.body_arriving &&
+            now >= active.overdue_at)
         {
             active.overdue = true;
             this->count_result(true, now);
@@ -661,6 +693,11 @@
             answers.push_back({request.grant, *refusal});
             continue;
         }
+        if (this->must_wait_for_slot(request, now))
+        {
+            remaining.push_back(std::move(waiting));
+            continue;
+        }
         const auto placed =
             is_idle_server_due
                 ? this->place_on_idle_server(request, servers_now, now)
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -50,6 +50,9 @@
     /// Servers that must not be chosen.
     std::vector<std::string> excluded_servers;
     std::uint64_t content_digest = 0; ///< digest of the request
+    /// The caller has not sent the whole body yet, so the server may have to
+    /// wait for the rest of it.
+    bool body_arriving = false;
 };
 
 /// The request is granted this server.
@@ -135,6 +138,10 @@
 /// again is not left idle until its suspicion has decayed. Servers that become
 /// suspected at the same time are taken for victims of one fault, which may be
 /// short: while sends fail, they get trial requests at a common pace.
+/// Requests whose bodies are still arriving hold at most half of the slots of
+/// the trusted servers together, and at most half of those of each server; at
+/// least one in both cases. Callers may never send the rest of such bodies, and
+/// the other requests must find a slot meanwhile.
 class placement
 {
 public:
@@ -220,7 +227,8 @@
     {
         announced_server announced;
         std::uint32_t running = 0;
-        double suspicion = 0.0; ///< 1 and more: suspected
+        std::uint32_t arriving_bodies = 0; ///< of the running requests
+        double suspicion = 0.0;            ///< 1 and more: suspected
         time_point suspicion_updated{};
         time_point last_probe{}; ///< last probe while suspected
         time_point last_success{};
@@ -279,6 +287,8 @@
     recent_counts count_recent(time_point now) const;
     void count_request(const place_request& request, time_point now);
     void count_result(bool failed, time_point now);
+    std::optional<place_answer> place_now(const place_request& request,
+                                          time_point now);
     place_answer decide(const place_request& request, time_point now);
 
     std::uint32_t capacity_of(const server_state& server, time_point now) const;
@@ -317,6 +327,9 @@
                                 bool waited_long,
                                 time_point now) const;
     std::map<std::string_view, double> slowness_by_server(time_point now) const;
+    std::uint32_t count_arriving_bodies() const;
+    bool must_wait_for_slot(const place_request& request, time_point now) const;
+    bool has_request_ahead(const place_request& request) const;
     double cost_of(const server_state& server,
                    const place_request& request,
                    double slowness,
@@ -356,7 +369,8 @@
                            server_state& server,
                            time_point now);
     place_refused make_refusal(result_code code, time_point now) const;
-    duration expected_wait(std::uint32_t rank, time_point now) const;
+    duration
+    expected_wait(std::uint32_t rank, bool body_arriving, time_point now) const;
     void check_active_grants(time_point now);
     std::optional<place_refused>
     refusal_if_blocked(const place_request& request, time_point now) const;
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -163,6 +163,11 @@
     elements.push_back(request.excluded_servers);
     elements.push_back(request.content_digest);
     elements.push_back(message.shard.number);
+    // Few bodies are still arriving, so it takes bytes only then.
+    if (request.body_arriving)
+    {
+        elements.push_back(request.body_arriving);
+    }
     return elements;
 }
 
@@ -342,6 +347,7 @@
     request.excluded_servers = elements.at(11).get<std::vector<std::string>>();
     request.content_digest = elements.at(12).get<std::uint64_t>();
     message.shard.number = optional_element<std::uint32_t>(elements, 13);
+    request.body_arriving = optional_element<bool>(elements, 14);
     return message;
 }
 
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -17,6 +17,10 @@
 /// the call fits a datagram.
 constexpr std::size_t max_excluded_bytes = 400;
 
+/// Added to the name of a route for the kind of work of its requests whose
+/// bodies are still arriving: their durations depend on their callers.
+constexpr std::string_view arriving_kind_suffix = " (body arriving)";
+
 core::time_point now()
 {
     return core::boot_clock::now();
@@ -44,8 +48,10 @@
         this->started_at + this->route->latency_objective;
     core::place_request request;
     request.data_centre = this->shared->settings.data_centre;
-    request.work_kind =
-        static_cast<std::uint32_t>(core::hash_text(this->route->name));
+    request.body_arriving = !this->caller->is_body_complete();
+    std::string kind = this->route->name;
+    kind += request.body_arriving ? arriving_kind_suffix : "";
+    request.work_kind = static_cast<std::uint32_t>(core::hash_text(kind));
     request.repeatable = this->route->repeatable;
     request.rank = this->route->rank;
     if (this->account != nullptr && this->account->rank)
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -40,11 +40,14 @@
     place.request.time_to_deadline = 2500ms;
     place.request.excluded_servers = {"i-1", "i-2"};
     place.request.content_digest = 0xfeedbeefcafef00d;
+    core::place_call upload = place;
+    upload.request.body_arriving = true;
     return {
         gossip,
         news,
         statement,
         life_sign,
+        upload,
         core::subscribe{5},
         core::source_update{7, 20ms, 6, "changes"},
         core::admit_call{3, "loft"},
@@ -198,6 +201,10 @@
 const nlohmann::json done_call{6, "specbook", 7, 9, 0, 5, 3};
 const nlohmann::json gossip{1,     5,     17,
                             false, false, {167837701, 77, 250, false}};
+const nlohmann::json place_call{
+    4,    "specbook", 7,     9,   "suva", 3,
+    true, 2,          false, 800, 2500,   nlohmann::json::array({"i-1"}),
+    11,   3};
 
 } // namespace earlier_release
 
@@ -247,6 +254,28 @@
     starts_with(gossip, earlier_release::gossip);
 }
 
+// Guards against place calls that the earlier release does not understand, or
+// that change although the whole body of the request is here.
+TEST(place_calls, state_a_body_that_is_arriving)
+{
+    auto decoded = net::decode_message(
+                       nlohmann::json::to_cbor(earlier_release::place_call))
+                       .value();
+    auto& call = std::get<core::place_call>(decoded);
+    EXPECT_FALSE(call.request.body_arriving);
+    EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(call)),
+              earlier_release::place_call);
+    call.request.body_arriving = true;
+    nlohmann::json expected = earlier_release::place_call;
+    expected.push_back(true);
+    EXPECT_EQ(nlohmann::json::from_cbor(net::encode_message(call)), expected);
+    const auto received =
+        net::decode_message(nlohmann::json::to_cbor(expected)).value();
+    EXPECT_TRUE(std::get<core::place_call>(received).request.body_arriving);
+    expected.back() = "yes";
+    EXPECT_FALSE(net::decode_message(nlohmann::json::to_cbor(expected)));
+}
+
 // Guards against values of a wrong type or range in the further elements that
 // are converted into a mark, or end the process.
 TEST(messages_with_bad_statements, are_refused)
