End uploads whose callers have stopped sending

Nothing limited the time in which a body's rest arrives once a request was sent: a server was kept until the route's timeout, and then took the blame if the attempt's watchdog came first.

The rest of a body must bring 16 KB in each header_timeout that the instance waits for it; time in which the server reads nothing does not count. Else the request ends with 504 and the new code 109 body_stalled: its outcome is unknown, both connections are closed, no server is suspected, no crash is counted and nothing is repeated. A deadline that passes while the instance waits for the body counts alike. The counter is medlarbarrow_bodies_stalled_total, and sends= in the log says body_stalled.

--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -97,7 +97,8 @@
     closed_early,    ///< connection ended before the answer was complete
     timed_out,
     answer_cut_off, ///< ended after bytes had gone to the caller
-    caller_gone
+    caller_gone,
+    body_stalled ///< the rest of the caller's body did not arrive in time
 };
 
 /// Outcome of sending a request to one server.
--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -43,6 +43,7 @@
     case attempt_end::timed_out:
         return classify_timeout(time_allowed, typical_latency);
     case attempt_end::caller_gone:
+    case attempt_end::body_stalled:
         return attempt_outcome::abandoned;
     case attempt_end::not_sent:
         return result.withheld ? attempt_outcome::abandoned
@@ -608,6 +609,8 @@
         return this->refuse(request, request.crash_retry_allowed == false
                                          ? result_code::request_blocked
                                          : result_code::server_closed_early);
+    case attempt_end::body_stalled:
+        return this->refuse(request, result_code::body_stalled);
     case attempt_end::answered:
     case attempt_end::answer_cut_off:
     case attempt_end::caller_gone:
--- a/medlarbarrow/core/result_codes.cpp
+++ b/medlarbarrow/core/result_codes.cpp
@@ -34,6 +34,9 @@
               "the request body exceeds the route limit"},
     table_row{result_code::header_too_large, "header_too_large",
               "the request header exceeds the limit"},
+    table_row{result_code::body_stalled, "body_stalled",
+              "the rest of the request body did not arrive in time; the "
+              "request may have run"},
     table_row{result_code::rate_exceeded, "rate_exceeded",
               "the client account has used its rate and burst"},
     table_row{result_code::queue_full, "queue_full",
--- a/medlarbarrow/core/result_codes.hpp
+++ b/medlarbarrow/core/result_codes.hpp
@@ -20,6 +20,7 @@
     bad_request = 106,
     body_too_large = 107,
     header_too_large = 108,
+    body_stalled = 109,
     rate_exceeded = 201,
     queue_full = 202,
     deadline_unreachable = 203,
--- a/medlarbarrow/core/retries.cpp
+++ b/medlarbarrow/core/retries.cpp
@@ -80,7 +80,8 @@
     {
         return retry_decision::answer_begun;
     }
-    if (!facts.repeatable)
+    // The rest of the body would be lacking again.
+    if (!facts.repeatable || facts.end == attempt_end::body_stalled)
     {
         return retry_decision::not_repeatable;
     }
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -52,6 +52,11 @@
 /// a connection is not idle while an answer is written.
 constexpr milliseconds stalled_write_limit{30000};
 
+/// Bytes that the rest of a body must bring, beyond its prefetched part, while
+/// the instance waits for `header_timeout` for it. A server is kept busy by
+/// such a body, so a caller that stops must not keep it.
+constexpr std::uint64_t min_body_progress_bytes = 16U << 10U;
+
 void set_socket_options(asio::ip::tcp::socket& socket)
 {
     error_code ignored;
@@ -483,6 +488,8 @@
     this->keeps_copy = true;
     this->body_failed = false;
     this->body_bytes_received = 0;
+    this->body_wait = {};
+    this->body_bytes_at_wait = 0;
     this->body_limit = std::numeric_limits<std::uint64_t>::max();
     if (!is_well_formed_header(this->buffered().substr(0, length)))
     {
@@ -628,6 +635,35 @@
     co_return true;
 }
 
+// Waits for further bytes of the body. False if the caller stalls. Only the
+// time in this function counts, not that in which the server reads nothing. If
+// bytes are here when the time is up, this instance was late to read them, for
+// example after a pause.
+asio::awaitable<bool> caller_connection::wait_for_body()
+{
+    const std::uint64_t progress =
+        this->body_bytes_received - this->body_bytes_at_wait;
+    if (progress >= min_body_progress_bytes)
+    {
+        this->body_wait = {};
+        this->body_bytes_at_wait = this->body_bytes_received;
+    }
+    const core::duration limit = this->bounds.header_timeout;
+    const core::time_point start = core::boot_clock::now();
+    co_await this->changed.wait_until(start + limit - this->body_wait);
+    this->body_wait += core::boot_clock::now() - start;
+    if (this->body_wait < limit)
+    {
+        co_return true;
+    }
+    error_code ignored;
+    const bool has_input = this->input.size() > 0 || this->is_gone() ||
+                           this->stream.socket().available(ignored) > 0;
+    this->body_wait = {};
+    this->body_bytes_at_wait = this->body_bytes_received;
+    co_return has_input;
+}
+
 asio::awaitable<body_part> caller_connection::read_body(std::uint64_t position,
                                                         const bool& stopped)
 {
@@ -666,7 +702,11 @@
         {
             co_return body_part{{}, false, true};
         }
-        co_await this->changed.wait();
+        const bool progressed = co_await this->wait_for_body();
+        if (!progressed)
+        {
+            co_return body_part{{}, false, false, true};
+        }
     }
     co_return body_part{};
 }
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -253,6 +253,7 @@
     head_status parse_head(std::size_t length);
     std::string_view decode();
     bool decode_input();
+    asio::awaitable<bool> wait_for_body();
     void store_for_replay(std::string_view part);
     asio::awaitable<bool>
     write_buffers(const std::array<asio::const_buffer, 4>& buffers);
@@ -295,6 +296,10 @@
     bool body_failed = false;
     std::uint64_t body_bytes_received = 0;
     std::uint64_t body_limit = 0;
+    /// Time spent waiting for the body since `body_bytes_at_wait` bytes of it
+    /// had arrived.
+    core::duration body_wait{};
+    std::uint64_t body_bytes_at_wait = 0;
 
     bool answer_started = false;
     bool answer_complete = false;
--- a/medlarbarrow/net/entry.cpp
+++ b/medlarbarrow/net/entry.cpp
@@ -105,6 +105,7 @@
     case result_code::order_outcome_unknown:
         return 502;
     case result_code::server_timeout:
+    case result_code::body_stalled:
         return 504;
     case result_code::instance_failed:
         return 500;
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -331,6 +331,11 @@
     attempt& current = this->attempts[number];
     const auto [end, outcome] = classify_send(result);
     current.ending = core::name_of(end);
+    if (result.end == core::attempt_end::body_stalled)
+    {
+        this->body_stalled = true;
+        current.ending = core::name_of(result_code::body_stalled);
+    }
     current.ended_at = now();
     core::send_end report;
     report.outcome = outcome;
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -174,6 +174,7 @@
     this->flow.reset();
     this->route = nullptr;
     this->account = nullptr;
+    this->body_stalled = false;
     ++this->request_number;
 }
 
@@ -496,8 +497,10 @@
                 retry_after = this->shared->time_until_wanted(this->service)
                                   .value_or(retry_after);
             }
-            co_await this->refuse(refusal->code, refusal->outcome_unknown,
-                                  retry_after);
+            const bool stalled = this->body_stalled && refusal->outcome_unknown;
+            co_await this->refuse(stalled ? result_code::body_stalled
+                                          : refusal->code,
+                                  refusal->outcome_unknown, retry_after);
         }
         else
         {
@@ -522,6 +525,10 @@
         this->summary.outcome = this->caller->is_gone()
                                     ? result_code::caller_gone
                                     : result_code::server_closed_early;
+        if (this->body_stalled && !this->caller->is_gone())
+        {
+            this->summary.outcome = result_code::body_stalled;
+        }
     }
 }
 
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -235,8 +235,9 @@
     /// Number of the request in progress. Callbacks compare it with the number
     /// of their request, to ignore late events of an earlier one.
     std::uint64_t request_number = 0;
-    bool serving = false; ///< a request is in progress
-    bool cut = false;     ///< it was counted as cut
+    bool serving = false;      ///< a request is in progress
+    bool cut = false;          ///< it was counted as cut
+    bool body_stalled = false; ///< a send of it ended since its body stalled
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/send.cpp
+++ b/medlarbarrow/net/send.cpp
@@ -38,6 +38,7 @@
     case attempt_end::answer_cut_off:
         return {send_result::lost, send_outcome::connection_lost};
     case attempt_end::caller_gone:
+    case attempt_end::body_stalled:
         break;
     }
     return {send_result::lost, send_outcome::cancelled};
--- a/medlarbarrow/net/upstream.cpp
+++ b/medlarbarrow/net/upstream.cpp
@@ -360,9 +360,15 @@
     error_code failure;
     do
     {
+        current.awaits_body = true;
         const body_part part =
             co_await caller.read_body(position, current.stopped);
+        current.awaits_body = false;
         last = part.last;
+        if (part.stalled)
+        {
+            current.stop(exchange::stop_cause::body_stalled);
+        }
         if (part.failed)
         {
             current.stop(exchange::stop_cause::caller_failed);
@@ -455,6 +461,10 @@
     {
         result.end = attempt_end::caller_gone;
     }
+    else if (current.cause == exchange::stop_cause::body_stalled)
+    {
+        result.end = attempt_end::body_stalled;
+    }
     else if (current.forwarded)
     {
         result.end = attempt_end::answer_cut_off;
--- a/medlarbarrow/net/upstream.hpp
+++ b/medlarbarrow/net/upstream.hpp
@@ -19,7 +19,8 @@
 {
     std::string_view data; ///< valid until the next read_body()
     bool last = false;
-    bool failed = false; ///< the caller's body is malformed or too large
+    bool failed = false;  ///< the caller's body is malformed or too large
+    bool stalled = false; ///< the caller has stopped sending its body
 };
 
 /// Status line and header of an answer to a caller.
@@ -95,6 +96,8 @@
     std::uint64_t answers_foreign = 0;
     /// Answers that broke off, were malformed or lacked what each must bear.
     std::uint64_t answers_damaged = 0;
+    /// Sends that ended because the caller's body did not arrive.
+    std::uint64_t bodies_stalled = 0;
 };
 
 /// Time limits that depend on the servers.
--- a/medlarbarrow/net/upstream_state.hpp
+++ b/medlarbarrow/net/upstream_state.hpp
@@ -68,6 +68,7 @@
         caller_gone,
         caller_failed,
         bad_answer,
+        body_stalled, ///< the rest of the caller's body did not arrive
         withheld,
         internal_failure ///< an exception in this instance
     };
@@ -109,7 +110,12 @@
         {
             return;
         }
-        this->cause = why;
+        // A server that waits for the body can't answer in time.
+        const bool lacks_body =
+            why == stop_cause::timed_out && this->awaits_body;
+        this->cause = lacks_body ? stop_cause::body_stalled : why;
+        this->counts->bodies_stalled +=
+            this->cause == stop_cause::body_stalled ? 1 : 0;
         this->close();
         this->pool->connection_available.notify();
     }
@@ -293,6 +299,7 @@
     bool stopped = false;
 
     std::uint64_t bytes_written = 0;
+    bool awaits_body = false; ///< the next bytes must come from the caller
     bool write_started = false;
     bool write_in_progress = false;
     boost::system::error_code write_failure; ///< of the last write
