Keep half of medlard's requests from arriving bodies

Each instance of medlard admits the requests of a service by its own queue. Uploads of callers that had stopped filled the running requests and the queue of 256, so that others waited for the deadline or were refused.

A request whose body is not here with its first part waits in a queue of its account for such requests, and at most half of the running ones, at least one, are of this kind.

--- a/medlarbarrow/core/admission.cpp
+++ b/medlarbarrow/core/admission.cpp
@@ -58,6 +58,17 @@
         std::chrono::duration<double>(value));
 }
 
+/// Part of the running requests whose bodies may still be arriving: one in so
+/// many.
+constexpr std::uint32_t arriving_slots_divisor = 2;
+
+/// Name of the queue of an account's requests, or of those whose bodies are
+/// still arriving. Names of accounts have no line break.
+std::string queue_name(const std::string& account, bool body_arriving)
+{
+    return body_arriving ? account + "\nbody arriving" : account;
+}
+
 } // namespace
 
 // The lower bound of the limit is the fair share of the slots plus a margin for
@@ -169,9 +180,9 @@
 push_result admission_queue::push(const waiting_request& request,
                                   time_point now)
 {
-    const duration needed =
-        this->expected_wait(request.account, request.weight) +
-        this->concurrency.mean_latency();
+    const duration needed = this->expected_wait(request.account, request.weight,
+                                                request.body_arriving) +
+                            this->concurrency.mean_latency();
     if (now + needed > request.deadline)
     {
         return {result_code::deadline_unreachable, std::nullopt};
@@ -185,7 +196,9 @@
             return {result_code::queue_full, std::nullopt};
         }
     }
-    account_queue& queue = this->accounts[request.account];
+    const std::string name = queue_name(request.account, request.body_arriving);
+    account_queue& queue = this->accounts[name];
+    queue.bodies_arriving = request.body_arriving;
     if (queue.size == 0)
     {
         queue.virtual_start = std::max(queue.virtual_start, this->virtual_time);
@@ -193,7 +206,7 @@
     queue.weight = std::max(min_account_weight, request.weight);
     queue.by_priority[request.priority].push_back(request);
     ++queue.size;
-    this->account_by_request[request.id] = request.account;
+    this->account_by_request[request.id] = name;
     return answer;
 }
 
@@ -203,7 +216,15 @@
     this->expire(now, popped.expired);
     while (this->waiting() > 0 && this->running_count < this->limit())
     {
-        account_queue& queue = this->next_account_to_serve()->second;
+        const auto next = this->next_account_to_serve();
+        if (next == this->accounts.end())
+        {
+            break;
+        }
+        account_queue& queue = next->second;
+        // Arriving bodies may have waited while others were served.
+        queue.virtual_start = std::max(queue.virtual_start, this->virtual_time);
+        this->running_arriving += queue.bodies_arriving ? 1U : 0U;
         const auto requests = std::prev(queue.by_priority.end());
         popped.ready.push_back(requests->second.front().id);
         this->virtual_time = queue.virtual_start;
@@ -243,10 +264,13 @@
 
 void admission_queue::completed(attempt_outcome outcome,
                                 duration latency,
-                                time_point now)
+                                time_point now,
+                                bool body_arriving)
 {
     this->attempt_ended(outcome, latency, now);
     this->running_count -= this->running_count > 0 ? 1U : 0U;
+    this->running_arriving -=
+        body_arriving && this->running_arriving > 0 ? 1U : 0U;
 }
 
 void admission_queue::attempt_ended(attempt_outcome outcome,
@@ -273,11 +297,14 @@
 
 // Under fair service a request waits for the earlier ones of its own account
 // and for as many of each other account, in proportion to the weights. Each
-// slot completes one request per mean latency.
+// slot completes one request per mean latency. Requests whose bodies are still
+// arriving are not ahead of others.
 duration admission_queue::expected_wait(const std::string& account,
-                                        double weight) const
+                                        double weight,
+                                        bool body_arriving) const
 {
-    const auto own = this->accounts.find(account);
+    const std::string own_name = queue_name(account, body_arriving);
+    const auto own = this->accounts.find(own_name);
     const double own_size =
         own != this->accounts.end() ? static_cast<double>(own->second.size) : 0;
     const double own_weight = std::max(min_account_weight, weight);
@@ -287,8 +314,9 @@
         const double served_before =
             (own_size + 1.0) * queue.weight / own_weight;
         const auto size = static_cast<double>(queue.size);
-        ahead +=
-            name == account ? 0.0 : std::min(size, std::ceil(served_before));
+        const bool is_ahead =
+            name != own_name && (body_arriving || !queue.bodies_arriving);
+        ahead += is_ahead ? std::min(size, std::ceil(served_before)) : 0.0;
     }
     const double slots = this->limit();
     const double free_slots = std::max(0.0, slots - this->running_count);
@@ -332,13 +360,23 @@
     return left_request.deadline < right_request.deadline;
 }
 
+// Whether a request of this queue may start while others may.
+bool admission_queue::has_slot_for(const account_queue& queue) const
+{
+    return !queue.bodies_arriving ||
+           this->running_arriving <
+               std::max(this->limit() / arriving_slots_divisor, 1U);
+}
+
+// The end if no waiting request may start.
 admission_queue::account_map::iterator admission_queue::next_account_to_serve()
 {
     auto first = this->accounts.end();
     for (auto account = this->accounts.begin(); account != this->accounts.end();
          ++account)
     {
-        const bool has_requests = account->second.size > 0;
+        const bool has_requests =
+            account->second.size > 0 && this->has_slot_for(account->second);
         if (has_requests && (first == this->accounts.end() ||
                              is_served_before(account->second, first->second)))
         {
@@ -353,16 +391,18 @@
 std::string admission_queue::account_with_longest_backlog(
     const waiting_request& arriving) const
 {
-    const auto own = this->accounts.find(arriving.account);
+    const std::string own_name =
+        queue_name(arriving.account, arriving.body_arriving);
+    const auto own = this->accounts.find(own_name);
     const std::size_t own_size =
         1 + (own != this->accounts.end() ? own->second.size : 0);
     double longest = static_cast<double>(own_size) /
                      std::max(min_account_weight, arriving.weight);
-    std::string longest_account = arriving.account;
+    std::string longest_account = own_name;
     for (const auto& [name, queue] : this->accounts)
     {
         const double length = static_cast<double>(queue.size) / queue.weight;
-        if (name != arriving.account && length > longest)
+        if (name != own_name && length > longest)
         {
             longest = length;
             longest_account = name;
@@ -384,7 +424,9 @@
         return std::nullopt;
     }
     const auto lowest = account->second.by_priority.begin();
-    if (victim == arriving.account && lowest->first >= arriving.priority)
+    const bool is_own =
+        victim == queue_name(arriving.account, arriving.body_arriving);
+    if (is_own && lowest->first >= arriving.priority)
     {
         return std::nullopt;
     }
--- a/medlarbarrow/core/admission.hpp
+++ b/medlarbarrow/core/admission.hpp
@@ -66,6 +66,9 @@
     /// that an account within its rate isn't refused because another account
     /// exceeds its own.
     double weight = 1.0;
+    /// The caller has not sent the whole body yet, so a server may have to wait
+    /// for the rest of it.
+    bool body_arriving = false;
 };
 
 /// Answer to push(): `ok`, queue_full or deadline_unreachable.
@@ -88,7 +91,10 @@
 /// any period in which the same accounts wait, each of equal weight gets at
 /// most its equal share plus one request. Within an account, and among accounts
 /// that have not been served since they entered the queue, the higher route
-/// priority goes first.
+/// priority goes first. Requests whose bodies are still arriving wait and are
+/// served as if each account had a second one for them. At most half of the
+/// running requests, and at least one, may be such ones: callers may never send
+/// the rest of their bodies.
 class admission_queue
 {
 public:
@@ -111,7 +117,11 @@
 
     /// Ends a request that pop_ready() has started. Call it once for every
     /// started request, even if it never reached a server (abandoned).
-    void completed(attempt_outcome outcome, duration latency, time_point now);
+    /// `body_arriving` as in its waiting_request.
+    void completed(attempt_outcome outcome,
+                   duration latency,
+                   time_point now,
+                   bool body_arriving = false);
 
     /// Records the end of an attempt of a request that is retried; the request
     /// stays running.
@@ -124,7 +134,8 @@
 
     /// Estimated wait of a new request of the account; for Retry-After.
     duration expected_wait(const std::string& account,
-                           double weight = 1.0) const;
+                           double weight = 1.0,
+                           bool body_arriving = false) const;
 
 private:
     /// The waiting requests of one account and its state in fair queueing.
@@ -135,6 +146,7 @@
         double weight = 1.0;
         double virtual_start = 0.0;     ///< virtual start of its next request
         std::uint64_t last_service = 0; ///< 0: none since it entered
+        bool bodies_arriving = false;   ///< of all its requests
     };
 
     using account_map = std::map<std::string, account_queue>;
@@ -142,6 +154,7 @@
     static const waiting_request& first_request(const account_queue& queue);
     static bool is_served_before(const account_queue& left,
                                  const account_queue& right);
+    bool has_slot_for(const account_queue& queue) const;
     account_map::iterator next_account_to_serve();
     std::string
     account_with_longest_backlog(const waiting_request& arriving) const;
@@ -157,7 +170,8 @@
     std::map<std::string, account_queue> accounts;
     std::unordered_map<std::uint64_t, std::string> account_by_request;
     std::uint32_t running_count = 0;
-    std::uint64_t service_count = 0; ///< requests started so far
+    std::uint32_t running_arriving = 0; ///< of them, with arriving bodies
+    std::uint64_t service_count = 0;    ///< requests started so far
     double virtual_time = 0.0; ///< virtual start of the request started last
 };
 
--- a/medlarbarrow/core/node.hpp
+++ b/medlarbarrow/core/node.hpp
@@ -36,6 +36,7 @@
     std::string idempotency_key;      ///< empty when absent
     std::uint64_t content_digest = 0; ///< of target and first body bytes
     std::optional<std::chrono::milliseconds> caller_deadline;
+    bool body_arriving = false; ///< the whole body is not here yet
 };
 
 using request_id = std::uint64_t;
--- a/medlarbarrow/core/node_requests.cpp
+++ b/medlarbarrow/core/node_requests.cpp
@@ -365,14 +365,15 @@
     }
     const std::string& service = request.matched_route->service;
     admission_queue& queue = this->queue_of(service);
-    const push_result pushed =
-        queue.push({id, request.account, request.matched_route->priority,
-                    request.deadline, request.weight},
-                   now.monotonic);
+    const push_result pushed = queue.push(
+        {id, request.account, request.matched_route->priority, request.deadline,
+         request.weight, request.facts.body_arriving},
+        now.monotonic);
     if (pushed.code != result_code::ok)
     {
         return this->refuse(request, pushed.code,
-                            queue.expected_wait(request.account));
+                            queue.expected_wait(request.account, 1.0,
+                                                request.facts.body_arriving));
     }
     if (pushed.evicted)
     {
@@ -640,7 +641,8 @@
         const duration latency =
             request.last_attempt ? request.last_attempt->latency : duration{};
         this->queue_of(service).completed(request.last_outcome, latency,
-                                          now.monotonic);
+                                          now.monotonic,
+                                          request.facts.body_arriving);
     }
     else if (request.phase == request_phase::queued)
     {
--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -222,6 +222,7 @@
     this->request.facts.content_digest =
         core::hash_text(body, core::hash_text(this->request.method + " " +
                                               this->request.target));
+    this->request.facts.body_arriving = !this->caller->is_body_complete();
     this->id = this->shared->node.begin_request(this->request.facts, now());
     this->account = this->shared->node.account_of(*this->id);
     this->route = this->shared->node.route_of(*this->id);
