Test that a silent server does not end its callers' uploads

Guards against a rule for the progress of bodies that counts the time in which the server reads nothing: the request then ends with server_timeout, not with body_stalled, and the counter stays at 0.

--- a/tests/gateway_uploads_test.cpp
+++ b/tests/gateway_uploads_test.cpp
@@ -202,3 +202,49 @@
     }
     EXPECT_LT(std::chrono::steady_clock::now() - start, 10s);
 }
+
+/// Given a single server, which accepts connections and reads nothing.
+class a_gateway_fleet_with_uploads_to_a_silent_server
+    : public a_gateway_fleet_with_uploads
+{
+protected:
+    void add_servers(unsigned /*count*/) override
+    {
+        this->silent.listen();
+        this->announce("silent", this->silent.local_endpoint().port());
+    }
+
+    boost::asio::io_context server_io;
+    /// Connections are established although none is accepted.
+    tcp::acceptor silent{
+        this->server_io,
+        tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+};
+
+// Guards against a caller that is blamed for a server that reads nothing: the
+// rest of its body cannot be taken, however long that lasts.
+TEST_F(a_gateway_fleet_with_uploads_to_a_silent_server, blames_no_caller)
+{
+    constexpr std::size_t large_bytes = 32U << 20U;
+    this->set_times(header_timeout, 2s);
+    test_caller caller(this->endpoint_of(0));
+    caller.send(fmt::format("POST /order/x HTTP/1.1\r\nHost: a.example\r\n"
+                            "Authorization: Bearer {}\r\n"
+                            "Content-Length: {}\r\n\r\n",
+                            test_key, large_bytes));
+    auto sent =
+        std::async(std::launch::async,
+                   [&caller]
+                   {
+                       const std::string body(large_bytes, 'u');
+                       boost::system::error_code failure;
+                       boost::asio::write(caller.socket,
+                                          boost::asio::buffer(body), failure);
+                       return failure;
+                   });
+    EXPECT_TRUE(sent.get().failed());
+    EXPECT_EQ(this->counters().servers.bodies_stalled, 0U);
+    this->end_fleet();
+    EXPECT_EQ(this->outcomes,
+              std::vector(1, core::result_code::server_timeout));
+}
