--- a/tests/gateway_uploads_test.cpp
+++ b/tests/gateway_uploads_test.cpp
@@ -188,15 +188,17 @@
 // servers. Their own limits come too late to help.
 TEST_F(a_gateway_fleet_with_uploads, serves_others_beside_those_that_stop)
 {
+    constexpr int callers = 40;
     this->set_times(20s, 20s);
     std::vector<std::unique_ptr<test_caller>> stopped;
-    for (int count = 0; count < 40; ++count)
+    stopped.reserve(callers);
+    for (int count = 0; count < callers; ++count)
     {
         stopped.push_back(
             this->start_upload(upload_bytes - stop_bytes, "/order/up"));
     }
     const auto start = std::chrono::steady_clock::now();
-    for (int count = 0; count < 40; ++count)
+    for (int count = 0; count < callers; ++count)
     {
         EXPECT_EQ(this->call(0, "/order/x").status, 200U);
     }
--- a/tests/placement_uploads_test.cpp
+++ b/tests/placement_uploads_test.cpp
@@ -36,6 +36,7 @@
             this->announced.push_back(server);
         }
         std::vector<const core::announced_server*> usable;
+        usable.reserve(this->announced.size());
         for (const core::announced_server& server : this->announced)
         {
             usable.push_back(&server);
