Give an upload the idle time to make progress

Cause: the limit was the header timeout; the users' limits let a client be silent in the middle of a request for the idle timeout, so a legal client could have met it. Change: the rest of a body must bring 16 KB in each idle timeout. Measured: gateway_uploads_test (6 cases) and entry_uploads_test (2) pass.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -53,7 +53,7 @@
 constexpr milliseconds stalled_write_limit{30000};
 
 /// Bytes that the rest of a body must bring, beyond its prefetched part, while
-/// the instance waits for `header_timeout` for it. A server is kept busy by
+/// the instance waits for `idle_timeout` for it. A server is kept busy by
 /// such a body, so a caller that stops must not keep it.
 constexpr std::uint64_t min_body_progress_bytes = 16U << 10U;
 
@@ -648,7 +648,7 @@
         this->body_wait = {};
         this->body_bytes_at_wait = this->body_bytes_received;
     }
-    const core::duration limit = this->bounds.header_timeout;
+    const core::duration limit = this->bounds.idle_timeout;
     const core::time_point start = core::boot_clock::now();
     co_await this->changed.wait_until(start + limit - this->body_wait);
     this->body_wait += core::boot_clock::now() - start;
--- a/tests/entry_uploads_test.cpp
+++ b/tests/entry_uploads_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t upload_bytes = 300000;
 constexpr std::size_t stop_bytes = 100; ///< that a stopped upload lacks
-constexpr milliseconds header_timeout{400};
+constexpr milliseconds stall_limit{400};
 
 } // namespace
 
@@ -22,7 +22,7 @@
 protected:
     void SetUp() override
     {
-        this->settings.bounds.header_timeout = header_timeout;
+        this->settings.bounds.idle_timeout = stall_limit;
         this->start();
     }
 
@@ -51,7 +51,7 @@
     EXPECT_EQ(received["Medlar-Outcome"], "unknown");
     EXPECT_EQ(received["Medlar-Code"], std::to_string(static_cast<int>(
                                            core::result_code::body_stalled)));
-    EXPECT_GE(elapsed, header_timeout);
+    EXPECT_GE(elapsed, stall_limit);
     EXPECT_LT(elapsed, std::chrono::seconds(8));
     EXPECT_TRUE(connection.is_closed());
     const auto servers = this->on_thread(
@@ -73,7 +73,7 @@
     this->start_upload(connection, upload_bytes - steps * step_bytes);
     for (std::size_t step = 0; step < steps; ++step)
     {
-        std::this_thread::sleep_for(header_timeout / 4);
+        std::this_thread::sleep_for(stall_limit / 4);
         connection.send(std::string(step_bytes, 'u'));
     }
     EXPECT_EQ(connection.receive().status(), 200U);
--- a/tests/gateway_uploads_test.cpp
+++ b/tests/gateway_uploads_test.cpp
@@ -11,7 +11,7 @@
 /// More than is read before a server is requested.
 constexpr std::size_t upload_bytes = 300000;
 constexpr std::size_t stop_bytes = 100; ///< that a stopped upload lacks
-constexpr auto header_timeout = 400ms;
+constexpr auto stall_limit = 400ms;
 
 } // namespace
 
@@ -23,15 +23,15 @@
     void SetUp() override
     {
         a_gateway_fleet::SetUp();
-        this->set_times(header_timeout, 20s);
+        this->set_times(stall_limit, 20s);
         this->observe_outcomes();
     }
 
-    void set_times(std::chrono::milliseconds header,
+    void set_times(std::chrono::milliseconds stall,
                    std::chrono::milliseconds deadline)
     {
         auto changed = std::make_shared<core::document>(*this->document);
-        changed->limits.emplace().header_timeout = header;
+        changed->limits.emplace().idle_timeout = stall;
         for (core::route& route : changed->routes)
         {
             route.deadline = deadline;
@@ -122,7 +122,7 @@
         EXPECT_NE(answer.body.find("body_stalled"), std::string::npos)
             << answer.body;
         EXPECT_EQ(answer.retry_after, "");
-        EXPECT_GE(elapsed, header_timeout);
+        EXPECT_GE(elapsed, stall_limit);
         EXPECT_LT(elapsed, 10s);
         EXPECT_TRUE(caller->read_answer().cut);
     }
@@ -144,7 +144,7 @@
         this->start_upload(upload_bytes - steps * step_bytes, "/order/x");
     for (std::size_t step = 0; step < steps; ++step)
     {
-        std::this_thread::sleep_for(header_timeout / 4);
+        std::this_thread::sleep_for(stall_limit / 4);
         caller->send(std::string(step_bytes, 'u'));
     }
     EXPECT_EQ(caller->read_answer().status, 200U);
@@ -164,7 +164,7 @@
     {
         boost::asio::write(caller->socket, boost::asio::buffer("u", 1),
                            failure);
-        std::this_thread::sleep_for(header_timeout / 8);
+        std::this_thread::sleep_for(stall_limit / 8);
     }
     EXPECT_EQ(this->counters().servers.bodies_stalled, 1U);
     EXPECT_LT(std::chrono::steady_clock::now() - start, 5s);
@@ -228,7 +228,7 @@
 TEST_F(a_gateway_fleet_with_uploads_to_a_silent_server, blames_no_caller)
 {
     constexpr std::size_t large_bytes = 32U << 20U;
-    this->set_times(header_timeout, 2s);
+    this->set_times(stall_limit, 2s);
     test_caller caller(this->endpoint_of(0));
     caller.send(fmt::format("POST /order/x HTTP/1.1\r\nHost: a.example\r\n"
                             "Authorization: Bearer {}\r\n"
