Lose no sound server over a return of the store

Cause and change, each with its case in published_era_test: - A removal that is carried over never ended if the server lived and had nothing to write: its entry had only expired. An item that the source still lists after 15 s is taken, unless the removed run had said that it leaves; a lapse is not carried over. - An instance that took the new era from a peer dropped at once what that peer had never had. It gets the grace period, unless the peer names the item as removed in the new era. - The removals that are carried over were forgotten first. - The first era that an instance learns counted as a return. - Peers that cannot agree asked each other every 0.5 s without end: the pause doubles, up to 30 s.

--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -37,9 +37,10 @@
 constexpr milliseconds first_catch_up_delay{400};
 /// Timeout of the request to the peer.
 constexpr milliseconds catch_up_timeout{500};
-/// Shortest time between two requests for what peers carry over from earlier
-/// eras of the source.
-constexpr milliseconds carried_items_interval{500};
+/// Time between two requests for what peers carry over from earlier eras of the
+/// source. Doubled after each one that has brought nothing.
+constexpr milliseconds min_carried_items_pause{500};
+constexpr milliseconds max_carried_items_pause{30000};
 constexpr std::size_t max_published_bytes = 16U << 20U;
 /// Answered with compressed changes.
 constexpr std::string_view published_path = "/published-zlib?since=";
@@ -121,6 +122,8 @@
     asio::steady_timer kill_timer;
     bool catching_up = false;
     core::time_point carried_items_asked_at{};
+    milliseconds carried_items_pause = min_carried_items_pause;
+    std::uint64_t asked_with_digest = 0; ///< that this instance had
     bool stopping = false;
     bool all_requests_ended = false;
 };
@@ -175,15 +178,24 @@
               });
 }
 
-// Instances that differ ask each other until they agree.
+// Instances that differ ask each other until they agree, or less and less often
+// if they have nothing to learn.
 void fleet_instance::state::ask_for_carried_items(const std::string& address)
 {
     const core::time_point now = core::boot_clock::now();
-    if (now - this->carried_items_asked_at < carried_items_interval)
+    const std::uint64_t digest = this->published_data.carried_digest();
+    if (digest != this->asked_with_digest)
+    {
+        this->carried_items_pause = min_carried_items_pause;
+    }
+    if (now - this->carried_items_asked_at < this->carried_items_pause)
     {
         return;
     }
+    this->asked_with_digest = digest;
     this->carried_items_asked_at = now;
+    this->carried_items_pause =
+        std::min(2 * this->carried_items_pause, max_carried_items_pause);
     this->catching_up = true;
     this->fetch_changes(address);
 }
@@ -627,6 +639,7 @@
 // Removes servers whose grace period has ended, in a periodic check.
 void fleet_instance::state::tick_registry()
 {
+    this->published_data.tick(core::boot_clock::now());
     this->published_data.servers().tick(core::boot_clock::now());
     run_after(this->registry_timer, registry_period,
               [this]
--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -140,18 +140,27 @@
     return position < this->removals_since || this->gap.contains(position);
 }
 
-// Whether the source has come back from a copy since what is known here.
-bool published::is_later_era(
+bool published::is_other_era(
     const core::source_position& position) const noexcept
 {
-    return this->current.revision > 0 && position.era > this->current.era;
+    return this->current.revision > 0 && position.era != this->current.era;
+}
+
+// Whether the source has come back from a copy since what is known here. The
+// first era that is learned is no return: peers of an earlier release state
+// none.
+bool published::is_return(const core::source_position& position) const noexcept
+{
+    return this->current.revision > 0 && this->current.era > 0 &&
+           position.era > this->current.era;
 }
 
 // Whether the item has been removed after it was written, as far as removals
 // are kept. `as_of` is the position at which its sender had it.
 bool published::is_removed(const published_item& item,
                            const core::item_state& state,
-                           const core::source_position& as_of)
+                           const core::source_position& as_of,
+                           core::time_point now)
 {
     const auto found = this->removals.find(item.key);
     if (found == this->removals.end())
@@ -175,9 +184,15 @@
     }
     // An instance that lacked the item may have been wrong about this version
     // of it, but an earlier one is out of date in any case.
-    removed.is_carried =
-        !removed.inferred || state.version < removed.state.version;
-    return removed.is_carried;
+    const bool is_certain =
+        !removed.lapsed &&
+        (!removed.inferred || state.version < removed.state.version);
+    const bool holds = removed.had_left || is_certain;
+    if (holds)
+    {
+        this->carry(removed, item.value, now);
+    }
+    return holds;
 }
 
 // Stores and applies an item; true if its position is new. Within an era, an
@@ -206,7 +221,7 @@
     }
     parsed_item meaning = this->read_item(item, now);
     const core::item_state state{item.position, version_of(meaning)};
-    if (!is_held && this->is_removed(item, state, as_of))
+    if (!is_held && this->is_removed(item, state, as_of, now))
     {
         ++this->counts.items_outdated;
         return false;
@@ -240,21 +255,29 @@
     removal& last = this->removals[key];
     const core::content_version version =
         std::max(last.state.version, removed.state.version);
+    const bool had_left =
+        removed.had_left ||
+        (last.had_left && removed.state.version <= last.state.version);
     if (removed.state.position >= last.state.position)
     {
         last = removed;
     }
     last.state.version = version;
+    last.had_left = had_left;
     if (this->removals.size() <= max_removals)
     {
         return;
     }
-    const auto oldest = std::min_element(
-        this->removals.begin(), this->removals.end(),
-        [](const auto& left, const auto& right)
-        {
-            return left.second.state.position < right.second.state.position;
-        });
+    // Those that are carried are needed for longest.
+    const auto oldest =
+        std::min_element(this->removals.begin(), this->removals.end(),
+                         [](const auto& left, const auto& right)
+                         {
+                             return std::pair(left.second.is_carried,
+                                              left.second.state.position) <
+                                    std::pair(right.second.is_carried,
+                                              right.second.state.position);
+                         });
     this->removals_since =
         std::max(this->removals_since, oldest->second.state.position);
     this->removals.erase(oldest);
@@ -281,9 +304,16 @@
     removal recorded = removed;
     recorded.state.version =
         std::max(removed.state.version, it->second.state.version);
+    recorded.lapsed = kind == core::removal_kind::lapsed;
+    const auto server = this->server_names.find(key);
+    if (server != this->server_names.end())
+    {
+        const core::announced_server* known =
+            this->registry.find(server->second);
+        recorded.had_left = known != nullptr && known->leaving;
+    }
     this->record_removal(key, recorded);
     this->items.erase(it);
-    const auto server = this->server_names.find(key);
     if (server != this->server_names.end())
     {
         const bool lapsed = kind == core::removal_kind::lapsed;
@@ -357,7 +387,7 @@
 {
     this->end_lapses();
     const core::source_position& position = missing.state.position;
-    if (this->is_later_era(position))
+    if (this->is_return(position))
     {
         this->log_new_era(position);
     }
@@ -408,7 +438,7 @@
     const bool has_gone_back = position.era == listing.known_before.era &&
                                position < listing.known_before;
     const bool is_earlier_era = position.era < this->current.era;
-    const bool is_later_era = this->is_later_era(position);
+    const bool is_return = this->is_return(position);
     if (is_earlier_era ||
         (!has_gone_back && this->may_lack_removal_after(position)))
     {
@@ -426,9 +456,9 @@
         listed_keys.insert(item.key);
     }
     // A server that the copy has not got may announce itself again.
-    const auto kind_of = [&listing, is_later_era](const std::string&)
+    const auto kind_of = [&listing, is_return](const std::string&)
     {
-        return is_later_era ? core::removal_kind::lapsed : listing.missing;
+        return is_return ? core::removal_kind::lapsed : listing.missing;
     };
     if (this->replace_items(listing.items, listed_keys, {{position, {}}},
                             kind_of, now))
@@ -515,6 +545,15 @@
                 text.lapsed.insert(key);
             }
         }
+        for (const auto& [key, removed] : this->removals)
+        {
+            const bool of_this_era =
+                removed.state.position.era == this->current.era;
+            if (this->current.era != 0 && of_this_era && !removed.lapsed)
+            {
+                text.gone.insert(key);
+            }
+        }
         return format_published_text(text);
     }
     if (since < this->gap.to)
@@ -579,10 +618,15 @@
             listed_keys.insert(item.key);
         }
     }
-    const auto kind_of = [&text](const std::string& key)
+    // After a return, an item that the sender has not removed may be one that
+    // it never had and that the copy lacks.
+    const bool is_return = this->is_return(text.position);
+    const auto kind_of = [&text, is_return](const std::string& key)
     {
-        return text.lapsed.contains(key) ? core::removal_kind::lapsed
-                                         : core::removal_kind::certain;
+        const bool may_live = text.lapsed.contains(key) ||
+                              (is_return && !text.gone.contains(key));
+        return may_live ? core::removal_kind::lapsed
+                        : core::removal_kind::certain;
     };
     return this->replace_items(text.items, listed_keys,
                                {{text.position, {}}, true}, kind_of, now);
@@ -623,7 +667,7 @@
     // have skipped what became of the items whose removals are carried over.
     const bool skips_changes =
         this->current < parsed->gap.to && this->carries_removals();
-    if (!parsed->complete && (this->is_later_era(position) || skips_changes))
+    if (!parsed->complete && (this->is_other_era(position) || skips_changes))
     {
         return {};
     }
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -118,6 +118,10 @@
         return this->current.revision;
     }
 
+    /// Ends what is carried over long enough, see published_text: an item that
+    /// the source still lists is alive, unless its run has said that it leaves.
+    void tick(core::time_point now);
+
     /// Position since which changes have to be asked for: the position, or the
     /// beginning while removals are carried over, since only a complete list
     /// tells whether the source has removed those items again.
@@ -173,8 +177,15 @@
         /// Another instance lacked the item: it was removed at this position or
         /// before, unless that instance was wrong.
         bool inferred = false;
+        /// The announcements may only have been lost. Holds in its era alone.
+        bool lapsed = false;
+        /// The removed run had said that it leaves.
+        bool had_left = false;
         /// The source lists the item again, as it was in an earlier era.
         bool is_carried = false;
+        /// While carried: the listed value, and since when it has been listed.
+        std::string listed_value{};
+        core::time_point listed_since{};
     };
 
     /// Returns the kind of the removal of an item that a list lacks.
@@ -185,7 +196,8 @@
     void end_lapses();
     void add_gap(core::source_position from, const core::source_position& to);
     bool may_lack_removal_after(const core::source_position& position) const;
-    bool is_later_era(const core::source_position& position) const noexcept;
+    bool is_other_era(const core::source_position& position) const noexcept;
+    bool is_return(const core::source_position& position) const noexcept;
     void log_new_era(const core::source_position& position);
     bool replace_items(const std::vector<published_item>& listed,
                        const std::set<std::string>& listed_keys,
@@ -206,11 +218,15 @@
     bool remove_carried(const published_item& removed, core::time_point now);
     std::vector<published_item> carried_items() const;
     bool carries_removals() const;
+    void carry(removal& removed,
+               const std::string& listed_value,
+               core::time_point now);
     void raise_position(const core::source_position& position,
                         core::time_point now);
     bool is_removed(const published_item& item,
                     const core::item_state& state,
-                    const core::source_position& as_of);
+                    const core::source_position& as_of,
+                    core::time_point now);
     bool store(const published_item& item,
                const core::source_position& as_of,
                core::time_point now);
--- a/medlarbarrow/net/published_carried.cpp
+++ b/medlarbarrow/net/published_carried.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <medlarbarrow/core/hash.hpp>
+#include <medlarbarrow/net/log.hpp>
 #include <medlarbarrow/net/published.hpp>
 
 /// What is carried over from earlier eras of the source: it has come back from
@@ -8,6 +9,15 @@
 namespace medlarbarrow::net
 {
 
+namespace
+{
+
+/// The source removes an announcement after a few seconds without a sign of
+/// life. An item that it lists for so long is that of a live server.
+constexpr std::chrono::seconds dead_item_lifetime{15};
+
+} // namespace
+
 std::vector<published_item> published::carried_items() const
 {
     std::vector<published_item> carried;
@@ -24,7 +34,7 @@
         {
             carried.push_back({key, "", removed.state.position, true,
                                core::removal_kind::certain, false,
-                               removed.state.version});
+                               removed.state.version, removed.listed_value});
         }
     }
     return carried;
@@ -87,6 +97,7 @@
         if (removed.is_carried && !listed_keys.contains(key))
         {
             removed.is_carried = false;
+            removed.listed_value.clear();
             removed.inferred = missing.inferred;
             removed.state.position = missing.state.position;
         }
@@ -110,9 +121,59 @@
     return has_changes;
 }
 
+// Keeps what the source lists again, to be taken if it is still listed later.
+void published::carry(removal& removed,
+                      const std::string& listed_value,
+                      core::time_point now)
+{
+    if (!removed.is_carried)
+    {
+        removed.listed_since = now;
+    }
+    removed.is_carried = true;
+    if (!removed.had_left)
+    {
+        removed.listed_value = listed_value;
+    }
+}
+
+// A server whose entry had only expired before the return goes on without
+// writing anything that shows it.
+void published::tick(core::time_point now)
+{
+    std::vector<published_item> alive;
+    for (auto& [key, removed] : this->removals)
+    {
+        if (removed.is_carried && !removed.listed_value.empty() &&
+            now - removed.listed_since >= dead_item_lifetime)
+        {
+            alive.push_back(
+                {key, removed.listed_value, {this->current.era, 1}});
+            removed.lapsed = true;
+        }
+    }
+    bool has_changes = false;
+    for (const published_item& item : alive)
+    {
+        log::write(log::level::info, "carried_removal_ended",
+                   {log::kv("key", item.key)});
+        has_changes |= this->store(item, this->current, now);
+    }
+    if (has_changes)
+    {
+        this->notify_change();
+    }
+}
+
 bool published::remove_carried(const published_item& removed,
                                core::time_point now)
 {
+    const auto held = this->items.find(removed.key);
+    const std::string listed_value =
+        held != this->items.end() &&
+                held->second.state.position.era == this->current.era
+            ? held->second.value
+            : removed.listed_value;
     const auto known = this->removals.find(removed.key);
     if (known != this->removals.end() &&
         known->second.state.position.era > removed.position.era)
@@ -126,7 +187,9 @@
     if (kept != this->removals.end() && !this->items.contains(removed.key))
     {
         kept->second.inferred = false;
-        kept->second.is_carried = true;
+        kept->second.lapsed = false;
+        kept->second.had_left |= removed.listed_value.empty();
+        this->carry(kept->second, listed_value, now);
     }
     return has_changed;
 }
--- a/medlarbarrow/net/published_text.cpp
+++ b/medlarbarrow/net/published_text.cpp
@@ -41,8 +41,8 @@
     return item;
 }
 
-/// The fourth element is the value; for a removed item, the last two are the
-/// version that was removed.
+/// The fourth element is the value; for a removed item, the fourth and fifth
+/// are the version that was removed, and the last is the value that is listed.
 json carried_to_json(const published_item& item)
 {
     const core::source_position& position = item.position;
@@ -52,7 +52,8 @@
             {item.key, position.era, position.revision, item.value});
     }
     return json::array({item.key, position.era, position.revision,
-                        item.version.major, item.version.minor});
+                        item.version.major, item.version.minor,
+                        item.listed_value});
 }
 
 published_item carried_to_item(const json& element)
@@ -69,6 +70,7 @@
     }
     item.version = {element.at(3).get<std::uint64_t>(),
                     element.at(4).get<std::uint64_t>()};
+    item.listed_value = element.at(5).get<std::string>();
     return item;
 }
 
@@ -111,6 +113,10 @@
     {
         formatted["lapsed"] = text.lapsed;
     }
+    if (!text.gone.empty())
+    {
+        formatted["gone"] = text.gone;
+    }
     return formatted.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -145,6 +151,10 @@
         {
             result.lapsed = lapsed->get<std::set<std::string>>();
         }
+        if (const auto gone = parsed.find("gone"); gone != parsed.end())
+        {
+            result.gone = gone->get<std::set<std::string>>();
+        }
         return result;
     }
     catch (const std::exception&)
--- a/medlarbarrow/net/published_text.hpp
+++ b/medlarbarrow/net/published_text.hpp
@@ -27,6 +27,9 @@
     bool inferred = false;
     /// Of a removal: the highest version that is known to be removed.
     core::content_version version{};
+    /// Of a carried removal: the item as the source lists it again, empty if
+    /// the removed run has said that it leaves.
+    std::string listed_value{};
 };
 
 /// Positions of one era, both ends excluded, in which items may have been
@@ -57,6 +60,9 @@
     /// Of a complete list: items that it lacks because they have lapsed, and
     /// whose servers are still in their grace period.
     std::set<std::string> lapsed;
+    /// Of a complete list in an era that is stated: items that it lacks because
+    /// they have been removed in that era.
+    std::set<std::string> gone;
 };
 
 std::string format_published_text(const published_text& text);
--- a/tests/published_era_test.cpp
+++ b/tests/published_era_test.cpp
@@ -37,6 +37,9 @@
 /// Longer than the grace period of a server whose announcement has lapsed.
 constexpr auto after_grace = 3s;
 
+/// Longer than a server may be silent before the source removes it.
+constexpr auto after_leases = 20s;
+
 } // namespace
 
 /// Given a source with a document and servers, a copy of it, and instances that
@@ -276,6 +279,109 @@
     EXPECT_TRUE(this->uses(this->first, left));
 }
 
+// Guards against a sound server that is lost for good: its entry had expired
+// before the return, and it goes on without a change of its entry. A server
+// that had said that it leaves stays out of use.
+TEST_F(a_source_back_from_its_copy, lists_a_server_that_had_only_expired)
+{
+    this->source.restore_copy();
+    this->read(this->first);
+    this->read(this->starting);
+    this->pass_on(this->first, this->starting);
+    this->pass_on(this->first, this->second);
+    for (net::published* instance :
+         {&this->first, &this->second, &this->starting})
+    {
+        instance->tick(this->now);
+        EXPECT_FALSE(this->uses(*instance, left));
+    }
+    this->now += after_leases;
+    for (net::published* instance :
+         {&this->first, &this->second, &this->starting})
+    {
+        instance->tick(this->now);
+        EXPECT_TRUE(this->uses(*instance, left));
+        EXPECT_FALSE(this->uses(*instance, leaving));
+    }
+}
+
+// Guards against a server that leaves, whose entry ends before the return, and
+// that is used again since the source lists it as ready.
+TEST_F(a_copied_source, lists_a_server_that_had_said_that_it_leaves)
+{
+    this->source.put(key_of(1), announcement("draining", 2));
+    this->all_read();
+    this->source.remove(key_of(1));
+    this->all_read();
+    this->source.restore_copy();
+    this->read(this->first);
+    this->pass_on(this->first, this->second);
+    this->now += after_leases;
+    for (net::published* instance : {&this->first, &this->second})
+    {
+        instance->tick(this->now);
+        EXPECT_FALSE(this->uses(*instance, 1));
+    }
+}
+
+// Guards against a sound server that is dropped at once because the instance
+// that passes the new era on has never had it.
+TEST_F(a_source_back_from_its_copy, is_passed_on_by_an_instance_that_starts)
+{
+    this->read(this->starting);
+    this->pass_on(this->starting, this->first);
+    EXPECT_TRUE(this->uses(this->first, joined));
+    this->now += after_grace;
+    EXPECT_FALSE(this->uses(this->first, joined));
+    this->expect_kept(this->first);
+}
+
+// Guards against a server that has left since the return and stays in use at an
+// instance that hears of the return later.
+TEST_F(a_source_back_from_its_copy, has_removed_a_server_in_the_new_era)
+{
+    this->read(this->first);
+    this->source.remove(key_of(3));
+    this->read(this->first);
+    this->pass_on(this->first, this->second);
+    EXPECT_FALSE(this->uses(this->second, 3));
+    EXPECT_TRUE(this->uses(this->second, joined));
+}
+
+// Guards against the removals that are carried over being forgotten first.
+TEST_F(a_source_back_from_its_copy, removes_many_servers)
+{
+    constexpr int many = 300;
+    this->read(this->first);
+    for (int number = 100; number < 100 + many; ++number)
+    {
+        this->source.put(key_of(number), announcement("ready", 1));
+        this->source.remove(key_of(number));
+    }
+    this->read(this->first);
+    ASSERT_TRUE(this->first.apply_listing(
+        this->source.list(this->first.position()), this->now));
+    EXPECT_FALSE(this->uses(this->first, left));
+}
+
+// Guards against an upgrade that is taken for a return: instances of an earlier
+// release pass on what they have without an era.
+TEST_F(a_copied_source, is_no_return_when_the_first_era_is_learned)
+{
+    source_model without_era = this->source;
+    without_era.era = 0;
+    for (auto& [key, item] : without_era.items)
+    {
+        item.position.era = 0;
+    }
+    ASSERT_TRUE(this->starting.apply_listing(without_era.list({}), this->now));
+    this->source.remove(key_of(2));
+    this->read(this->starting);
+    EXPECT_EQ(this->starting.counters().eras_begun, 0U);
+    EXPECT_FALSE(this->uses(this->starting, 2));
+    EXPECT_TRUE(this->uses(this->starting, 3));
+}
+
 // Guards against answers of the earlier era that come late, from the source or
 // from an instance that has not heard of the new one.
 TEST_F(a_source_back_from_its_copy, makes_answers_of_before_count_for_nothing)
