Test real instances over returns of the store from a copy

Cause: only what follows once all have written again was tested at real processes. Starts, freezes, further returns, restarts and a lost path to the store were tested in published_era_test alone, without gossip and readers. The fixture tells an instance that doesn't answer from one that doesn't know a server, which looked alike.

--- a/tests/store_copy_fixture.hpp
+++ b/tests/store_copy_fixture.hpp
@@ -4,6 +4,8 @@
 
 #include "planned_work_fixture.hpp"
 
+#include <nlohmann/json.hpp>
+
 namespace medlarbarrow::tests
 {
 
@@ -102,50 +104,56 @@
     /// status.
     bool all_answer(const std::string& target, unsigned status)
     {
-        return eventually(
-            [this, &target, status]
+        return this->eventually_at_all(
+            [this, &target, status](std::size_t index)
             {
-                for (std::size_t index = 0; index < this->instances.size();
-                     ++index)
-                {
-                    if (this->status_of(index, target) != status)
-                    {
-                        return false;
-                    }
-                }
-                return true;
-            },
-            follow_limit);
+                return this->status_of(index, target) == status;
+            });
+    }
+
+    /// The status page of an instance; null if it doesn't answer.
+    nlohmann::json status_page(std::size_t instance) const
+    {
+        const auto answer = this->fetch(instance, this->peers, "/status");
+        if (answer.result_int() != 200)
+        {
+            return {};
+        }
+        return nlohmann::json::parse(answer.body(), nullptr, false);
     }
 
-    /// State in which an instance has the server: healthy, draining, or empty
-    /// if it doesn't know it.
+    /// State in which an instance has the server: healthy, draining, empty if
+    /// it doesn't know it, or "no answer".
     std::string state_of(std::size_t instance, unsigned server) const
     {
-        const std::string status =
-            this->fetch(instance, this->peers, "/status").body();
-        const auto name = status.find(fmt::format("\"s-{}\"", server));
-        if (name == std::string::npos)
+        const nlohmann::json page = this->status_page(instance);
+        if (!page.is_object())
         {
-            return "";
+            return "no answer";
+        }
+        const std::string name = fmt::format("s-{}", server);
+        for (const nlohmann::json& entry : page.at("servers"))
+        {
+            if (entry.at("server") == name)
+            {
+                return entry.at("state");
+            }
         }
-        const auto begin = status.rfind('{', name);
-        const auto end = status.find('}', name);
-        const std::string entry = status.substr(begin, end - begin);
-        return entry.find("\"draining\"") == std::string::npos ? "healthy"
-                                                               : "draining";
+        return "";
     }
 
-    /// Waits until all the instances have the server in this state.
-    bool all_have(unsigned server, const std::string& state)
+    /// Waits until the condition, a function of the number of an instance,
+    /// holds at all of them at once.
+    template <class Condition>
+    bool eventually_at_all(Condition condition) const
     {
         return eventually(
-            [this, server, &state]
+            [this, &condition]
             {
                 for (std::size_t index = 0; index < this->instances.size();
                      ++index)
                 {
-                    if (this->state_of(index, server) != state)
+                    if (!condition(index))
                     {
                         return false;
                     }
@@ -155,6 +163,51 @@
             follow_limit);
     }
 
+    /// Waits until all the instances have the server in this state.
+    bool all_have(unsigned server, const std::string& state) const
+    {
+        return this->eventually_at_all(
+            [this, server, &state](std::size_t index)
+            {
+                return this->state_of(index, server) == state;
+            });
+    }
+
+    /// True if the instance has read the store, or has heard of it, since its
+    /// last return.
+    bool is_in_present_era(std::size_t instance) const
+    {
+        const nlohmann::json page = this->status_page(instance);
+        return page.is_object() &&
+               page.value("list_era", std::uint64_t{0}) == this->store.era();
+    }
+
+    bool all_are_in_present_era() const
+    {
+        return this->eventually_at_all(
+            [this](std::size_t index)
+            {
+                return this->is_in_present_era(index);
+            });
+    }
+
+    /// Version of the configuration that an instance has; 0 if it has none or
+    /// doesn't answer.
+    std::uint64_t version_at(std::size_t instance) const
+    {
+        const nlohmann::json page = this->status_page(instance);
+        return page.is_object()
+                   ? page.value("document_version", std::uint64_t{0})
+                   : 0;
+    }
+
+    /// Ends an instance without notice.
+    void kill_instance(std::size_t index)
+    {
+        this->instances[index]->send(SIGKILL);
+        this->instances[index]->wait();
+    }
+
     std::string logs() const
     {
         std::string text;
