Send no rest of a body as if it were the whole

Cause: the copy of a body for a retry may be dropped to make room for others. medlard checked for it before a further attempt, which may then wait for a connection; when the copy was dropped meanwhile, the attempt read the bytes that came next as if they were the first ones. In chunks, a server got a well-formed, truncated body. Change: the copy of a body that is to be sent again stays. A read that does not continue where the last one ended fails.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -252,6 +252,11 @@
     this->changed.notify();
 }
 
+void caller_connection::pin_copy()
+{
+    this->account.set_copy(0);
+}
+
 void caller_connection::drop_copy()
 {
     this->replayable = false;
@@ -681,6 +686,11 @@
         {
             co_return body_part{{}, true, false};
         }
+        if (position != this->body_bytes_received)
+        {
+            // The copy has been dropped: what was read can't be sent again.
+            co_return body_part{{}, false, true};
+        }
         this->is_streaming = true;
         const std::string_view part = this->decode();
         if (this->body_failed || this->is_body_too_large() ||
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -124,6 +124,10 @@
         return this->replay_body;
     }
 
+    /// The copy of the body must stay until it has been read again: another
+    /// attempt will send it.
+    void pin_copy();
+
     /// From now on nothing of the body is kept that has been sent.
     void keep_no_copy()
     {
--- a/medlarbarrow/net/entry_session.cpp
+++ b/medlarbarrow/net/entry_session.cpp
@@ -355,6 +355,7 @@
         co_await this->refuse({code, this->may_have_run, {}});
         co_return progress::ended;
     }
+    this->caller->pin_copy();
     const core::attempt_result result = co_await this->run_attempt(step);
     if (this->cut)
     {
