Count the parsed header and give it back with the request

Cause: a header below its limit of 16 KiB may have 4,000 lines; parsed it takes 25 times its text. Change: the header counts as held, with its lines, and is dropped before the next request; what doesn't fit is refused as not run.

--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <bit>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -28,6 +29,10 @@
 
 constexpr std::size_t min_decode_bytes = 512;
 
+/// Memory that a parsed header takes for each of its lines, beside its bytes:
+/// the parser keeps a node for each, and the request a copy of the line.
+constexpr std::size_t header_line_bytes = 96;
+
 /// Above this size the copy of a body grows by this size at a time instead of
 /// being doubled.
 constexpr std::size_t copy_step_bytes = 64U << 10U;
@@ -179,7 +184,7 @@
 std::size_t caller_connection::buffer_bytes() const
 {
     return this->input.capacity() + this->decode_buffer_bytes +
-           this->replay_body.capacity();
+           this->replay_body.capacity() + this->header_bytes;
 }
 
 // Accounts for the buffers as they are.
@@ -412,6 +417,9 @@
 
 asio::awaitable<head_status> caller_connection::read_head()
 {
+    // The header of the last request may be large.
+    this->parser.reset();
+    this->header_bytes = 0;
     this->release_request_buffers();
     this->idle_start = core::boot_clock::now();
     this->answer_started = false;
@@ -484,6 +492,20 @@
     co_return head_status::closed;
 }
 
+// Accounts for the parsed header, which may be many times as large as its text.
+bool caller_connection::hold_header(std::string_view text)
+{
+    const auto lines =
+        static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+    const std::size_t bytes = 2 * text.size() + lines * header_line_bytes;
+    if (!this->hold_memory(bytes))
+    {
+        return false;
+    }
+    this->header_bytes = bytes;
+    return true;
+}
+
 // Parses the first `length` bytes of the input as the header of a new request.
 head_status caller_connection::parse_head(std::size_t length)
 {
@@ -500,6 +522,12 @@
     {
         return head_status::malformed;
     }
+    if (!this->hold_header(this->buffered().substr(0, length)))
+    {
+        this->refuse_for_memory();
+        this->release_buffers();
+        return head_status::no_memory;
+    }
     this->parser.emplace();
     this->parser->header_limit(this->bounds.max_header_bytes + 1);
     this->parser->body_limit(boost::none);
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -239,6 +239,7 @@
     std::size_t buffer_bytes() const;
     bool hold_memory();
     bool hold_memory(std::size_t more_bytes);
+    bool hold_header(std::string_view text);
     void refuse_for_memory();
     void release_buffers();
     void release_request_buffers();
@@ -289,6 +290,7 @@
     std::string replay_body; ///< body from its start while `replayable`
     std::unique_ptr<char[]> decode_buffer;
     std::size_t decode_buffer_bytes = 0;
+    std::size_t header_bytes = 0; ///< that the parsed header takes
     bool replayable = true;
     bool keeps_copy = true;          ///< of a body that is being sent
     bool is_streaming = false;       ///< part of the body has gone to a server
--- a/tests/body_crowd_test.cpp
+++ b/tests/body_crowd_test.cpp
@@ -108,6 +108,33 @@
     };
 }
 
+/// Requests with headers below the limit of 16 KiB, of as many lines as fit,
+/// and with bodies whose end is withheld.
+request_maker many_header_lines()
+{
+    constexpr std::size_t max_head_bytes = 16'000;
+    constexpr std::string_view line = "a:\r\n";
+    constexpr std::size_t body_bytes = 10;
+    return [=](const std::string& target, std::size_t index)
+    {
+        crowd_request request;
+        request.id = fmt::format("crowd-{}", index);
+        std::string lines;
+        std::string head;
+        do
+        {
+            head = make_head(
+                target, request.id,
+                fmt::format("{}Content-Length: {}", lines, body_bytes));
+            lines += line;
+        } while (head.size() + line.size() <= max_head_bytes);
+        request.beginning = head;
+        request.repeated = share("");
+        request.ending = std::string(body_bytes, 'e');
+        return request;
+    };
+}
+
 /// Requests with chunked bodies whose last chunk is withheld.
 request_maker chunked(std::size_t chunk_bytes, std::size_t body_bytes)
 {
@@ -568,6 +595,40 @@
     this->watch->expect_in_bounds();
 }
 
+// Guards against headers that are legal in size and take much more memory once
+// they are parsed, beside bodies that have stopped.
+TEST_F(an_instance_with_few_slots, bounds_the_memory_for_headers_of_many_lines)
+{
+    this->start();
+    this->play(crowd_size, "/order/1", many_header_lines());
+}
+
+// Guards against clients that take nothing of long answers: their servers wait,
+// and ordinary requests find no slot.
+TEST_F(an_instance_with_few_slots, serves_others_beside_unread_answers)
+{
+    constexpr std::size_t reader_count = 60;
+    constexpr int receive_buffer_bytes = 4096;
+    this->start();
+    asio::io_context io;
+    std::vector<tcp::socket> readers;
+    for (std::size_t index = 0; index < reader_count; ++index)
+    {
+        tcp::socket& reader = readers.emplace_back(io);
+        reader.open(tcp::v4());
+        reader.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+        reader.connect(this->endpoint_of(0));
+        asio::write(reader, asio::buffer(fmt::format(
+                                "GET /browse/1?bytes=30000000 HTTP/1.1\r\n"
+                                "Host: a.example\r\n{}: unread-{}\r\n\r\n",
+                                request_id_header, index)));
+    }
+    std::this_thread::sleep_for(2s);
+    this->expect_ordinary_served();
+    this->watch->expect_in_bounds();
+}
+
 /// Given one more service, whose servers accept connections and read nothing.
 class an_instance_with_silent_servers : public an_instance_with_few_slots
 {
