End a carried removal at each instance by itself

Found when the diff was read. Cause: instances begin to carry a removal at different times, so they end it at different times. One that had ended it was told of it again by the others and took the server out of use once more; they by it in turn, without end. Change: an instance remembers, for the era, which removals it has ended.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -371,6 +371,7 @@
 void published::log_new_era(const core::source_position& position)
 {
     ++this->counts.eras_begun;
+    this->ended_removals.clear();
     log::write(log::level::warning, "source_came_back_older",
                {log::kv("known", core::format_position(this->current)),
                 log::kv("listed", core::format_position(position))});
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -245,6 +245,9 @@
     std::map<std::string, stored_item> items;
     std::map<std::string, std::string> server_names; ///< by item key
     std::map<std::string, removal> removals;         ///< by item key
+    /// Versions whose carried removals have ended in this era, by item key:
+    /// other instances may carry them for longer.
+    std::map<std::string, core::content_version> ended_removals;
     /// Later removals are kept, except those of items from the gap.
     core::source_position removals_since;
     /// The last one; removals_since is not below the end of the one before.
--- a/medlarbarrow/net/published_carried.cpp
+++ b/medlarbarrow/net/published_carried.cpp
@@ -150,6 +150,7 @@
             alive.push_back(
                 {key, removed.listed_value, {this->current.era, 1}});
             removed.lapsed = true;
+            this->ended_removals[key] = removed.state.version;
         }
     }
     bool has_changes = false;
@@ -168,6 +169,11 @@
 bool published::remove_carried(const published_item& removed,
                                core::time_point now)
 {
+    const auto ended = this->ended_removals.find(removed.key);
+    if (ended != this->ended_removals.end() && removed.version <= ended->second)
+    {
+        return false;
+    }
     const auto held = this->items.find(removed.key);
     const std::string listed_value =
         held != this->items.end() &&
--- a/tests/published_era_test.cpp
+++ b/tests/published_era_test.cpp
@@ -305,6 +305,25 @@
     }
 }
 
+// Guards against a server that is taken out of use again and again: instances
+// that have heard of the return later carry its removal for longer.
+TEST_F(a_source_back_from_its_copy, ends_a_removal_at_each_instance_by_itself)
+{
+    this->read(this->first);
+    this->now += after_leases;
+    this->pass_on(this->first, this->second);
+    this->first.tick(this->now);
+    this->second.tick(this->now);
+    EXPECT_TRUE(this->uses(this->first, left));
+    EXPECT_FALSE(this->uses(this->second, left));
+    this->pass_on(this->second, this->first);
+    EXPECT_TRUE(this->uses(this->first, left));
+    this->now += after_leases;
+    this->second.tick(this->now);
+    EXPECT_TRUE(this->uses(this->second, left));
+    EXPECT_EQ(this->first.carried_digest(), this->second.carried_digest());
+}
+
 // Guards against a server that leaves, whose entry ends before the return, and
 // that is used again since the source lists it as ready.
 TEST_F(a_copied_source, lists_a_server_that_had_said_that_it_leaves)
