Post a function to the relay's thread in a test without its future

Cause: with Boost's header of futures included, as in the precompiled one of the clang builds, asio::post() takes the future of a packaged task itself; the test's own get_future() had taken it, and the fixture threw. Change: the task is posted inside a function.

--- a/tests/store_copy_test.cpp
+++ b/tests/store_copy_test.cpp
@@ -393,9 +393,16 @@
     template <class Function>
     auto on_relay_thread(Function function)
     {
-        std::packaged_task<decltype(function())()> task(std::move(function));
-        auto result = task.get_future();
-        asio::post(this->relay_io, std::move(task));
+        // Asio takes the future of a packaged task that it is given itself.
+        const auto task =
+            std::make_shared<std::packaged_task<decltype(function())()>>(
+                std::move(function));
+        auto result = task->get_future();
+        asio::post(this->relay_io,
+                   [task]
+                   {
+                       (*task)();
+                   });
         return result.get();
     }
 
