End unread answers while their slots are needed

Callers saw: beside 60 clients that ask for answers of 30 MB and read nothing, an ordinary request of the same service got 503 or nothing for 30 s.

Cause: an answer above 256 KB is passed on as it comes, and its server waits for the caller, up to 30 s for each byte. Nothing told the owner that the slot was held by a caller, and nothing bounded such requests together. It is the fault of bodies that stop, on the way back.

Change: the entry instance counts how often a write has brought less than 16 KB and reports the grant to its owner. While no server has a free slot, the answers unread for longest end, until requests that wait for their callers hold half of the shard's slots. A grant that is reported keeps its slot beyond the deadline and raises no suspicion. Why not a limit at each instance: many of them hold all slots together.

Six cases of placement_uploads_test and one of place_calls_test are new and need the new functions.

--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -79,6 +79,21 @@
     std::uint32_t shard = 0;  ///< number of the shard
 };
 
+/// Tells the owner that the caller has stopped reading the answer to a granted
+/// request. Repeated while that lasts.
+struct unread_call
+{
+    shard_id shard;
+    grant_id grant;
+};
+
+/// Answers an unread_call if the send has to end, see
+/// placement::record_unread_answer().
+struct unread_reply
+{
+    std::uint64_t number = 0; ///< of the grant
+};
+
 /// Tells an instance that a request has crashed a server: the owners of the
 /// other shards of the service, and the one that is next to own the shard.
 struct shard_crash_report
@@ -118,6 +133,8 @@
                                    place_reply,
                                    done_call,
                                    done_reply,
+                                   unread_call,
+                                   unread_reply,
                                    shard_crash_report,
                                    crash_suspects>;
 
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -603,16 +603,17 @@
 
 // A request that runs far longer than its kind of work usually does raises the
 // suspicion of its server while it still runs: further requests would be lost
-// to the server until it ends. One whose body was still arriving may run long
-// because of its caller, and raises none. Grants that have expired are
-// cancelled.
+// to the server until it ends. One whose body was still arriving, or whose
+// answer is not read, may run long because of its caller, and raises none.
+// Grants that have expired are cancelled.
 void placement::check_active_grants(time_point now)
 {
     std::vector<grant_id> expired;
     for (auto& [id, active] : this->grants)
     {
-        if (!active.overdue && !active.request.body_arriving &&
-            now >= active.overdue_at)
+        const bool waits_for_caller =
+            active.request.body_arriving || active.is_unread(now);
+        if (!active.overdue && !waits_for_caller && now >= active.overdue_at)
         {
             active.overdue = true;
             this->count_result(true, now);
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -141,7 +141,8 @@
 /// Requests whose bodies are still arriving hold at most half of the slots of
 /// the trusted servers together, and at most half of those of each server; at
 /// least one in both cases. Callers may never send the rest of such bodies, and
-/// the other requests must find a slot meanwhile.
+/// the other requests must find a slot meanwhile. Answers that callers don't
+/// read count with them, and have to end while no slot is free.
 class placement
 {
 public:
@@ -183,6 +184,13 @@
     void
     hold(std::uint64_t instance, const server_notice& notice, time_point now);
 
+    /// Records that the caller of a running request has stopped reading the
+    /// answer, so that the server waits. Returns whether the send has to end:
+    /// no server has a free slot, and the answer is one of those that have been
+    /// unread for longest among the requests beyond half of the slots that wait
+    /// for their callers. An unknown grant has to end if no slot is free.
+    bool record_unread_answer(const grant_id& grant, time_point now);
+
     /// Gives up a request that waits or a grant that was not used.
     void cancel(const grant_id& grant, time_point now);
 
@@ -255,6 +263,15 @@
         time_point expires_at{}; ///< then counts as cancelled
         bool overdue = false;    ///< it has raised its server's suspicion
         bool trial = false;      ///< of a server that failed with others
+        /// Since when the caller has not read the answer, and until when the
+        /// last report of that holds.
+        time_point unread_since{};
+        time_point unread_until{};
+
+        bool is_unread(time_point now) const noexcept
+        {
+            return now < this->unread_until;
+        }
     };
 
     struct queued_request
@@ -327,9 +344,11 @@
                                 bool waited_long,
                                 time_point now) const;
     std::map<std::string_view, double> slowness_by_server(time_point now) const;
+    std::uint32_t trusted_slots(time_point now) const;
     std::uint32_t count_arriving_bodies() const;
     bool must_wait_for_slot(const place_request& request, time_point now) const;
     bool has_request_ahead(const place_request& request) const;
+    bool is_among_longest_unread(const grant_id& grant, time_point now) const;
     double cost_of(const server_state& server,
                    const place_request& request,
                    double slowness,
--- a/medlarbarrow/core/placement_choice.cpp
+++ b/medlarbarrow/core/placement_choice.cpp
@@ -36,15 +36,6 @@
 /// long.
 constexpr std::uint32_t long_wait_extra_slots = 1;
 
-/// Part of the slots that requests may hold whose bodies are still arriving:
-/// one in so many, and at least one slot.
-constexpr std::uint32_t arriving_slots_divisor = 2;
-
-std::uint32_t arriving_limit(std::uint32_t slots)
-{
-    return std::max<std::uint32_t>(slots / arriving_slots_divisor, 1);
-}
-
 } // namespace
 
 // The server of lowest cost gets the request. The cost rises with the server's
@@ -157,46 +148,6 @@
     return servers_now;
 }
 
-// Requests whose bodies are still arriving that run at present.
-std::uint32_t placement::count_arriving_bodies() const
-{
-    std::uint32_t count = 0;
-    for (const auto& [name, server] : this->servers)
-    {
-        count += server.arriving_bodies;
-    }
-    return count;
-}
-
-// Whether the request must wait although slots may be free: its body is still
-// arriving, and such requests hold their part of the shard's slots.
-bool placement::must_wait_for_slot(const place_request& request,
-                                   time_point now) const
-{
-    if (!request.body_arriving)
-    {
-        return false;
-    }
-    std::uint32_t slots = 0;
-    for (const auto& [name, server] : this->servers)
-    {
-        slots += server.suspected ? 0 : this->capacity_of(server, now);
-    }
-    return this->count_arriving_bodies() >= arriving_limit(slots);
-}
-
-// Whether a waiting request goes first. One whose body is still arriving goes
-// before its like only, since it may wait while slots are free for others.
-bool placement::has_request_ahead(const place_request& request) const
-{
-    return std::any_of(this->queue.begin(), this->queue.end(),
-                       [&request](const queued_request& waiting)
-                       {
-                           return request.body_arriving ||
-                                  !waiting.request.body_arriving;
-                       });
-}
-
 // Whether the server must not be chosen for this request: the request excludes
 // it, it has turned the request's instance away, or it waits for the bodies of
 // too many other requests.
@@ -207,8 +158,7 @@
     const std::string& name = server.announced.server.name;
     const auto held = this->holds.find(request.grant.instance);
     if (request.body_arriving &&
-        server.arriving_bodies >=
-            arriving_limit(this->capacity_of(server, now)))
+        server.arriving_bodies >= caller_slots(this->capacity_of(server, now)))
     {
         return true;
     }
--- a/medlarbarrow/core/placement_common.hpp
+++ b/medlarbarrow/core/placement_common.hpp
@@ -14,6 +14,13 @@
 /// Upper limit of a server's suspicion. From 1 on it is suspected.
 inline constexpr double max_suspicion = 3.0;
 
+/// Of so many slots, those that may be held by requests whose servers wait for
+/// the callers: half, and at least one.
+inline std::uint32_t caller_slots(std::uint32_t slots)
+{
+    return std::max<std::uint32_t>(slots / 2, 1);
+}
+
 inline double in_seconds(duration value)
 {
     return std::chrono::duration_cast<real_seconds>(value).count();
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -795,18 +795,23 @@
     this->start_operation_timer(stalled_write_limit);
     const std::size_t total = asio::buffer_size(buffers);
     // Called before and after each part of the write.
+    const std::uint64_t written_before = this->written_bytes;
     const auto remaining =
-        [this, total](const error_code& part_failure, std::size_t written)
+        [this, total, written_before](const error_code& part_failure,
+                                      std::size_t written)
     {
+        this->written_bytes = written_before + written;
         if (!part_failure && written > 0 && written < total)
         {
             this->start_operation_timer(stalled_write_limit);
         }
         return part_failure ? 0 : total - written;
     };
+    this->writing = true;
     co_await asio::async_write(
         this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
+    this->writing = false;
     this->stop_operation_timer();
     co_return !failure;
 }
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -197,6 +197,17 @@
         return this->answer_complete;
     }
 
+    bool is_writing() const
+    {
+        return this->writing;
+    }
+
+    /// Bytes of answers that the system has taken to pass on to the caller.
+    std::uint64_t bytes_written() const
+    {
+        return this->written_bytes;
+    }
+
     unsigned answer_status() const
     {
         return this->status;
@@ -311,6 +322,8 @@
     bool answer_complete = false;
     bool answer_chunked = false;
     unsigned status = 0;
+    bool writing = false;
+    std::uint64_t written_bytes = 0;
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -132,6 +132,10 @@
                     const core::done_call& message);
     void on_message(core::instance_address sender,
                     const core::done_reply& message);
+    void on_message(core::instance_address sender,
+                    const core::unread_call& message);
+    void on_message(core::instance_address sender,
+                    const core::unread_reply& message);
     void on_message(core::instance_address sender,
                     const core::shard_crash_report& message);
     void on_message(core::instance_address sender,
@@ -593,6 +597,28 @@
     this->places.on_reply(sender, message);
 }
 
+void fleet::state::on_message(core::instance_address sender,
+                              const core::unread_call& message)
+{
+    const auto holder =
+        static_cast<core::instance_address>(message.grant.instance >> 32U);
+    if (holder != sender)
+    {
+        ++this->counter_values.datagrams_invalid;
+        return;
+    }
+    if (this->owned_shards.on_unread_answer(message))
+    {
+        this->send(sender, core::unread_reply{message.grant.number});
+    }
+}
+
+void fleet::state::on_message(core::instance_address sender,
+                              const core::unread_reply& message)
+{
+    this->places.on_reply(sender, message);
+}
+
 core::result<std::unique_ptr<fleet>>
 fleet::create(asio::io_context& io,
               const fleet_settings& settings,
@@ -680,6 +706,12 @@
     this->self->places.report_send_end(end, notice);
 }
 
+void fleet::report_unread_answer(const core::grant_id& grant,
+                                 std::function<void()> end_send)
+{
+    this->self->places.report_unread_answer(grant, std::move(end_send));
+}
+
 void fleet::record_leaving(const core::leaving_run& run, leaving_source from)
 {
     this->self->record_leaving(run, from);
--- a/medlarbarrow/net/fleet_instance.cpp
+++ b/medlarbarrow/net/fleet_instance.cpp
@@ -512,6 +512,8 @@
     add_counter("server_answers_damaged_total",
                 gateway_counts.servers.answers_damaged);
     add_counter("bodies_stalled_total", gateway_counts.servers.bodies_stalled);
+    add_counter("unread_answers_ended_total",
+                gateway_counts.unread_answers_ended);
     add_counter("source_calls_total", source_counts.calls);
     add_counter("source_calls_failed_total", source_counts.failed_calls);
     text += format_counters(gateway_counts.bodies);
--- a/medlarbarrow/net/gateway.hpp
+++ b/medlarbarrow/net/gateway.hpp
@@ -34,6 +34,7 @@
     std::uint64_t stop_refused_waiting = 0; ///< waited at the end of a shutdown
     std::uint64_t stop_cut = 0;    ///< were running at the end of a shutdown
     std::uint64_t turned_away = 0; ///< refusals of servers with a Retry-After
+    std::uint64_t unread_answers_ended = 0; ///< to free the server for others
     std::map<core::result_code, std::uint64_t> refusals;
     core::body_counters bodies; ///< and connections refused
     upstream_counters servers;
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -2,6 +2,7 @@
 #include <medlarbarrow/core/hash.hpp>
 #include <medlarbarrow/net/gateway_state.hpp>
 #include <medlarbarrow/net/log.hpp>
+#include <medlarbarrow/net/timers.hpp>
 
 /// The attempts to serve a request: place calls to owners, sends to servers,
 /// and what servers state about themselves in their answers.
@@ -21,6 +22,13 @@
 /// bodies are still arriving: their durations depend on their callers.
 constexpr std::string_view arriving_kind_suffix = " (body arriving)";
 
+/// A caller that takes fewer bytes of an answer than these in so many checks
+/// reads too slowly. Checks are counted, not the time: a pause of this instance
+/// is no fault of the caller.
+constexpr std::uint64_t min_read_progress_bytes = 16U << 10U;
+constexpr std::chrono::milliseconds reading_check_period{100};
+constexpr unsigned max_checks_without_progress = 5;
+
 core::time_point now()
 {
     return core::boot_clock::now();
@@ -292,6 +300,7 @@
         }
         self->flow->on_answer_started(number);
         self->progress.notify();
+        self->watch_reading(number);
         return true;
     };
     // The wait for a connection may take so long that the send can no longer
@@ -353,6 +362,67 @@
     }
 }
 
+// Checks from now on whether the caller reads the answer, which is too long to
+// be buffered: the server waits with it.
+void gateway::state::session::watch_reading(std::size_t number)
+{
+    run_after(this->reading_timer, reading_check_period,
+              [weak = this->weak_from_this(), number,
+               number_at_start = this->request_number]
+              {
+                  const auto self = weak.lock();
+                  if (self && self->request_number == number_at_start)
+                  {
+                      self->check_reading(number);
+                  }
+              });
+}
+
+void gateway::state::session::check_reading(std::size_t number)
+{
+    const std::optional<core::grant_id> grant = this->attempts[number].grant;
+    if (!grant)
+    {
+        return;
+    }
+    this->watch_reading(number);
+    const std::uint64_t written = this->caller->bytes_written();
+    if (!this->caller->is_writing() ||
+        written - this->bytes_at_progress >= min_read_progress_bytes)
+    {
+        this->bytes_at_progress = written;
+        this->checks_without_progress = 0;
+        return;
+    }
+    if (++this->checks_without_progress < max_checks_without_progress)
+    {
+        return;
+    }
+    this->shared->peers.report_unread_answer(
+        *grant,
+        [weak = this->weak_from_this(), number,
+         number_at_start = this->request_number]
+        {
+            const auto self = weak.lock();
+            if (self && self->request_number == number_at_start)
+            {
+                self->end_unread_answer(number);
+            }
+        });
+}
+
+// Ends the answer with a reset, so that the caller cannot take it for whole,
+// and with it the send.
+void gateway::state::session::end_unread_answer(std::size_t number)
+{
+    ++this->shared->counts.unread_answers_ended;
+    log::write(log::level::warning, "unread_answer_ended",
+               {log::kv("id", this->request.id),
+                log::kv("service", this->service),
+                log::kv("server", this->attempts[number].server)});
+    this->caller->reset();
+}
+
 // Cancels an attempt: ends its send, or withdraws its place call.
 void gateway::state::session::cancel(std::size_t number)
 {
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -175,6 +175,7 @@
     this->route = nullptr;
     this->account = nullptr;
     this->body_stalled = false;
+    this->checks_without_progress = 0;
     ++this->request_number;
 }
 
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -141,7 +141,8 @@
               this->shared->bounds,
               this->shared->bodies,
               client)),
-          progress(this->shared->io.get_executor())
+          progress(this->shared->io.get_executor()),
+          reading_timer(this->shared->io)
     {
     }
 
@@ -200,6 +201,9 @@
     void report_end(attempt& current, core::send_end end);
     void on_send_end(std::size_t number, const core::attempt_result& result);
     void cancel(std::size_t number);
+    void watch_reading(std::size_t number);
+    void check_reading(std::size_t number);
+    void end_unread_answer(std::size_t number);
     asio::awaitable<void> deliver(std::size_t number);
     asio::awaitable<void> refuse(core::result_code code,
                                  bool outcome_unknown,
@@ -238,6 +242,11 @@
     bool serving = false;      ///< a request is in progress
     bool cut = false;          ///< it was counted as cut
     bool body_stalled = false; ///< a send of it ended since its body stalled
+
+    // How the caller reads an answer that is passed on as it comes.
+    asio::steady_timer reading_timer;
+    std::uint64_t bytes_at_progress = 0; ///< written when it last read enough
+    unsigned checks_without_progress = 0;
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -406,6 +406,29 @@
                  granted.owner);
 }
 
+// The report may be lost: it is made again while the answer is not read.
+void place_calls::report_unread_answer(const core::grant_id& grant,
+                                       std::function<void()> end_send)
+{
+    const auto position = this->grants.find(grant.number);
+    if (position == this->grants.end())
+    {
+        return;
+    }
+    open_grant& granted = position->second;
+    const core::unread_call call{granted.shard, grant};
+    if (granted.owner != this->parts.own_address)
+    {
+        granted.end_send = std::move(end_send);
+        this->parts.send(granted.owner, call);
+        return;
+    }
+    if (this->parts.owned.on_unread_answer(call))
+    {
+        end_send();
+    }
+}
+
 // Gives up a request that waits at the target, or a grant that is not used.
 void place_calls::release(std::uint64_t number, const target& at)
 {
@@ -470,6 +493,21 @@
     this->done_calls.erase({message.number, message.shard, sender});
 }
 
+void place_calls::on_reply(core::instance_address sender,
+                           const core::unread_reply& message)
+{
+    const auto position = this->grants.find(message.number);
+    if (position == this->grants.end() || position->second.owner != sender)
+    {
+        return;
+    }
+    // The function may end the grant.
+    if (const auto end_send = std::exchange(position->second.end_send, {}))
+    {
+        end_send();
+    }
+}
+
 void place_calls::close()
 {
     this->calls.clear();
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -189,6 +189,17 @@
     this->start_timer();
 }
 
+bool service_owners::on_unread_answer(const core::unread_call& unread)
+{
+    bool must_end = false;
+    for (auto& [key, owned] : this->owned_shards)
+    {
+        must_end |= key.shard == unread.shard &&
+                    owned.placement.record_unread_answer(unread.grant, now());
+    }
+    return must_end;
+}
+
 double service_owners::load(const core::shard_id& shard) const
 {
     const auto owned = this->owned_shards.find({shard, decision_scope::fleet});
--- a/tests/body_crowd_test.cpp
+++ b/tests/body_crowd_test.cpp
@@ -42,6 +42,7 @@
 constexpr std::size_t mebibyte = 1U << 20U;
 constexpr std::size_t full_body_bytes = 64 * mebibyte;
 constexpr std::size_t piece_bytes = 65536;
+constexpr std::size_t unread_answer_bytes = 30'000'000;
 /// What a client withholds of its body.
 constexpr std::size_t withheld_bytes = 10;
 
@@ -472,6 +473,30 @@
         return refused;
     }
 
+    /// Connects clients that ask for long answers and read nothing, and waits
+    /// until these have come.
+    std::vector<tcp::socket> ask_for_answers(asio::io_context& io,
+                                             std::size_t count) const
+    {
+        constexpr int receive_buffer_bytes = 4096;
+        std::vector<tcp::socket> readers;
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            tcp::socket& reader = readers.emplace_back(io);
+            reader.open(tcp::v4());
+            reader.set_option(
+                asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+            reader.connect(this->endpoint_of(0));
+            asio::write(reader,
+                        asio::buffer(fmt::format(
+                            "GET /browse/1?bytes={} HTTP/1.1\r\n"
+                            "Host: a.example\r\n{}: unread-{}\r\n\r\n",
+                            unread_answer_bytes, request_id_header, index)));
+        }
+        std::this_thread::sleep_for(2s);
+        return readers;
+    }
+
     void expect_none_ran()
     {
         const std::set<std::string> ran = this->passed_on();
@@ -609,27 +634,28 @@
 TEST_F(an_instance_with_few_slots, serves_others_beside_unread_answers)
 {
     constexpr std::size_t reader_count = 60;
-    constexpr int receive_buffer_bytes = 4096;
     this->start();
     asio::io_context io;
-    std::vector<tcp::socket> readers;
-    for (std::size_t index = 0; index < reader_count; ++index)
-    {
-        tcp::socket& reader = readers.emplace_back(io);
-        reader.open(tcp::v4());
-        reader.set_option(
-            asio::socket_base::receive_buffer_size(receive_buffer_bytes));
-        reader.connect(this->endpoint_of(0));
-        asio::write(reader, asio::buffer(fmt::format(
-                                "GET /browse/1?bytes=30000000 HTTP/1.1\r\n"
-                                "Host: a.example\r\n{}: unread-{}\r\n\r\n",
-                                request_id_header, index)));
-    }
-    std::this_thread::sleep_for(2s);
+    const auto readers = this->ask_for_answers(io, reader_count);
     this->expect_ordinary_served();
     this->watch->expect_in_bounds();
 }
 
+// Guards against an answer that is cut although nobody needs its server: its
+// client only reads late.
+TEST_F(an_instance_with_few_slots, cuts_no_answer_that_is_read_late)
+{
+    this->start();
+    asio::io_context io;
+    auto readers = this->ask_for_answers(io, 1);
+    this->expect_ordinary_served();
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> response;
+    response.body_limit(2 * unread_answer_bytes);
+    http::read(readers[0], buffer, response);
+    EXPECT_EQ(response.get().body().size(), unread_answer_bytes);
+}
+
 /// Given one more service, whose servers accept connections and read nothing.
 class an_instance_with_silent_servers : public an_instance_with_few_slots
 {
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -60,6 +60,8 @@
             1.25},
         core::done_call{{"specbook", 3}, {7, 9}, core::send_outcome::shed, 5ms},
         core::done_reply{9, 3},
+        core::unread_call{{"specbook", 3}, {7, 9}},
+        core::unread_reply{9},
         core::shard_crash_report{{"specbook", 3},
                                  {0xfeedbeefcafef00d, "i-2", 250ms}},
         core::crash_suspects{{{0xfeedbeefcafef00d, {{"i-2", 3s}, {"i-3", 0s}}},
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -287,6 +287,41 @@
     EXPECT_TRUE(done.notice.leaving);
 }
 
+// Guards against an answer that no owner hears of, and against one that another
+// instance, or a late message, ends.
+TEST_F(a_caller_of_two_shards, ends_an_unread_answer_when_its_owner_says_so)
+{
+    this->place();
+    const std::uint32_t first = this->shard_asked(0);
+    const core::instance_address owner = this->owner_of(first);
+    this->reply(first, core::placed{"s3", 100ms, 200ms});
+    int ended = 0;
+    const auto report = [this, &ended]
+    {
+        this->calls.report_unread_answer(this->grant,
+                                         [&ended]
+                                         {
+                                             ++ended;
+                                         });
+    };
+    const core::unread_reply reply{this->grant.number};
+    this->calls.on_reply(owner, reply);
+    report();
+    const auto& call = std::get<core::unread_call>(this->sent.back().message);
+    EXPECT_EQ(this->sent.back().recipient, owner);
+    EXPECT_EQ(call.shard.number, first);
+    EXPECT_EQ(call.grant, this->grant);
+    this->calls.on_reply(this->owner_of(1 - first), reply);
+    EXPECT_EQ(ended, 0);
+    this->calls.on_reply(owner, reply);
+    this->calls.on_reply(owner, reply);
+    EXPECT_EQ(ended, 1);
+    report();
+    this->calls.report_send_end({this->grant, core::send_outcome::cancelled});
+    this->calls.on_reply(owner, reply);
+    EXPECT_EQ(ended, 1);
+}
+
 // Guards against crashes that only the owner learns of, which may have failed
 // meanwhile, and against a request that is blamed for a server that lives.
 TEST_F(a_caller_of_two_shards, tells_of_a_send_whose_server_ended_it)
--- a/tests/placement_uploads_test.cpp
+++ b/tests/placement_uploads_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <medlarbarrow/core/placement.hpp>
+#include <set>
 
 using namespace medlarbarrow;
 using namespace std::chrono_literals;
@@ -224,3 +225,124 @@
     EXPECT_TRUE(this->owner.take_crashes().empty());
     EXPECT_EQ(this->owner.spread(this->now).failures, 0U);
 }
+
+/// And ordinary requests whose callers stop reading the answers.
+class an_owner_with_unread_answers : public an_owner_of_a_service_with_uploads
+{
+protected:
+    /// Starts ordinary requests that all get a server.
+    void start_answers(int count)
+    {
+        for (int index = 0; index < count; ++index)
+        {
+            this->answers.push_back(this->ordinary());
+            ASSERT_NE(this->place(this->answers.back()), "");
+        }
+    }
+
+    /// Reports the answers as unread, one after the other. Returns the numbers
+    /// of those that have to end.
+    std::set<std::size_t> report_all()
+    {
+        std::set<std::size_t> ended;
+        for (std::size_t index = 0; index < this->answers.size(); ++index)
+        {
+            this->now += 1ms;
+            if (this->owner.record_unread_answer(this->answers[index].grant,
+                                                 this->now))
+            {
+                ended.insert(index);
+            }
+        }
+        return ended;
+    }
+
+    static std::set<std::size_t> first(std::size_t count)
+    {
+        std::set<std::size_t> numbers;
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            numbers.insert(index);
+        }
+        return numbers;
+    }
+
+    std::vector<core::place_request> answers;
+};
+
+// Guards against callers that don't read their answers and hold all slots, and
+// against more ended answers than the others need.
+TEST_F(an_owner_with_unread_answers, ends_those_unread_for_longest)
+{
+    this->start_answers(32);
+    EXPECT_EQ(this->report_all(), first(0));
+    EXPECT_EQ(this->report_all(), first(16));
+    for (const std::size_t index : first(16))
+    {
+        this->finish(this->answers[index], core::send_outcome::cancelled);
+    }
+    this->answers.erase(this->answers.begin(), this->answers.begin() + 16);
+    EXPECT_EQ(this->report_all(), first(0));
+    EXPECT_NE(this->place(this->ordinary()), "");
+}
+
+// Guards against an answer that is ended although nobody needs its server.
+TEST_F(an_owner_with_unread_answers, ends_none_while_a_slot_is_free)
+{
+    this->start_answers(31);
+    for (int round = 0; round < 20; ++round)
+    {
+        EXPECT_EQ(this->report_all(), first(0));
+    }
+}
+
+// Guards against bodies that hold half of the slots and answers that hold the
+// other half.
+TEST_F(an_owner_with_unread_answers, counts_arriving_bodies_with_them)
+{
+    EXPECT_EQ(this->start_uploads(48).size(), 16U);
+    this->start_answers(16);
+    this->report_all();
+    EXPECT_EQ(this->report_all(), first(16));
+}
+
+// Guards against a slot that is given out again while the server still waits
+// for a caller that reads nothing, and against one that is never given back.
+TEST_F(an_owner_with_unread_answers, keeps_their_slots_while_they_are_reported)
+{
+    this->start_answers(16);
+    for (int second = 0; second < 10; ++second)
+    {
+        this->now += 1s;
+        this->report_all();
+        this->owner.tick(this->now);
+        EXPECT_EQ(this->owner.running(), 16U);
+    }
+    this->now += 5s;
+    this->owner.tick(this->now);
+    EXPECT_EQ(this->owner.running(), 0U);
+}
+
+// Guards against servers that are suspected because callers don't read.
+TEST_F(an_owner_with_unread_answers, suspects_no_server_for_them)
+{
+    this->start_answers(16);
+    for (int step = 0; step < 100; ++step)
+    {
+        this->report_all();
+        this->now += 25ms;
+        this->owner.tick(this->now);
+    }
+    EXPECT_TRUE(this->owner.take_events().empty());
+    EXPECT_EQ(this->owner.spread(this->now).failures, 0U);
+}
+
+// Guards against an answer beyond all bounds after a change of the owner, which
+// doesn't know the grant.
+TEST_F(an_owner_with_unread_answers, ends_an_unknown_one_if_no_slot_is_free)
+{
+    const core::grant_id unknown{9, 9};
+    EXPECT_FALSE(this->owner.record_unread_answer(unknown, this->now));
+    this->start_answers(32);
+    EXPECT_TRUE(this->owner.record_unread_answer(unknown, this->now));
+}
