--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -243,6 +243,12 @@
 private:
     using parser_type = http::request_parser<http::buffer_body>;
 
+    static constexpr std::size_t read_buffer_bytes = 8192;
+
+    /// Input that is buffered while the body is decoded from it: one part to
+    /// decode while the next one is read.
+    static constexpr std::size_t body_input_bytes = 2 * read_buffer_bytes;
+
     bool is_idle() override;
     void evict() override;
     void end_stopped() override;
