Count a lapse as a removal once its grace period has ended

Callers would see: a server that has left in the second after a return of the store is used again after the next return.

Cause: in that second a removal may be the end of a lease of the copy, so it counts as a lapse, and a lapse held in its era alone, for good.

Change: a live server whose announcements were lost announces itself again within its grace period. So after that the lapse is a removal like another, here and in what peers are told. The end of a carried removal used the mark of a lapse to let the item in; it forgets the removal now.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -185,7 +185,7 @@
     // An instance that lacked the item may have been wrong about this version
     // of it, but an earlier one is out of date in any case.
     const bool is_certain =
-        !removed.lapsed &&
+        !this->may_have_lapsed(item.key, removed) &&
         (!removed.inferred || state.version < removed.state.version);
     const bool holds = removed.had_left || is_certain;
     if (holds)
@@ -341,6 +341,14 @@
            this->registry.find(found->second) != nullptr;
 }
 
+// A live server whose announcements were lost announces itself again within the
+// grace period.
+bool published::may_have_lapsed(const std::string& key,
+                                const removal& removed) const
+{
+    return removed.lapsed && this->is_lapsing(key);
+}
+
 // Forgets servers whose grace period has ended.
 void published::end_lapses()
 {
@@ -550,7 +558,8 @@
         {
             const bool of_this_era =
                 removed.state.position.era == this->current.era;
-            if (this->current.era != 0 && of_this_era && !removed.lapsed)
+            if (this->current.era != 0 && of_this_era &&
+                !this->may_have_lapsed(key, removed))
             {
                 text.gone.insert(key);
             }
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -177,7 +177,8 @@
         /// Another instance lacked the item: it was removed at this position or
         /// before, unless that instance was wrong.
         bool inferred = false;
-        /// The announcements may only have been lost. Holds in its era alone.
+        /// The announcements may only have been lost. Holds in its era alone
+        /// until the server's grace period has ended.
         bool lapsed = false;
         /// The removed run had said that it leaves.
         bool had_left = false;
@@ -193,6 +194,7 @@
         std::function<core::removal_kind(const std::string& key)>;
 
     bool is_lapsing(const std::string& key) const;
+    bool may_have_lapsed(const std::string& key, const removal& removed) const;
     void end_lapses();
     void add_gap(core::source_position from, const core::source_position& to);
     bool may_lack_removal_after(const core::source_position& position) const;
--- a/medlarbarrow/net/published_carried.cpp
+++ b/medlarbarrow/net/published_carried.cpp
@@ -142,14 +142,13 @@
 void published::tick(core::time_point now)
 {
     std::vector<published_item> alive;
-    for (auto& [key, removed] : this->removals)
+    for (const auto& [key, removed] : this->removals)
     {
         if (removed.is_carried && !removed.listed_value.empty() &&
             now - removed.listed_since >= dead_item_lifetime)
         {
             alive.push_back(
                 {key, removed.listed_value, {this->current.era, 1}});
-            removed.lapsed = true;
             this->ended_removals[key] = removed.state.version;
         }
     }
@@ -158,6 +157,7 @@
     {
         log::write(log::level::info, "carried_removal_ended",
                    {log::kv("key", item.key)});
+        this->removals.erase(item.key);
         has_changes |= this->store(item, this->current, now);
     }
     if (has_changes)
--- a/tests/published_era_test.cpp
+++ b/tests/published_era_test.cpp
@@ -343,6 +343,51 @@
     }
 }
 
+/// And one server's entry has ended in a way that may only be a lapse.
+class a_source_with_a_lapsed_server : public a_copied_source
+{
+protected:
+    static constexpr int lapsed = 1;
+
+    void SetUp() override
+    {
+        a_copied_source::SetUp();
+        const std::uint64_t before = this->source.revision;
+        this->source.remove(key_of(lapsed));
+        auto changes = this->source.changes_after(before);
+        changes.front().removal = core::removal_kind::lapsed;
+        this->first.apply_changes(changes, this->source.position(), this->now);
+    }
+};
+
+// Guards against a server that has left, right after a return, and is used
+// again after the next one: its removal counted as a lapse for good.
+TEST_F(a_source_with_a_lapsed_server, returns_after_the_grace_period)
+{
+    this->now += after_grace;
+    ASSERT_FALSE(this->uses(this->first, lapsed));
+    this->source.restore_copy();
+    this->read(this->first);
+    this->pass_on(this->first, this->second);
+    EXPECT_FALSE(this->uses(this->first, lapsed));
+    EXPECT_FALSE(this->uses(this->second, lapsed));
+    this->source.put(key_of(lapsed), announcement("ready", 2));
+    this->read(this->first);
+    EXPECT_TRUE(this->uses(this->first, lapsed));
+}
+
+// Guards against a live server that is out of use since its announcements were
+// lost just before the return.
+TEST_F(a_source_with_a_lapsed_server, returns_within_the_grace_period)
+{
+    this->now += 1s;
+    this->source.restore_copy();
+    this->read(this->first);
+    EXPECT_TRUE(this->uses(this->first, lapsed));
+    this->now += after_grace;
+    EXPECT_TRUE(this->uses(this->first, lapsed));
+}
+
 // Guards against a sound server that is dropped at once because the instance
 // that passes the new era on has never had it.
 TEST_F(a_source_back_from_its_copy, is_passed_on_by_an_instance_that_starts)
