Keep a server whose lease ends after a return also on news of a peer

Callers would see: a live server without work after a return of the store, until it writes again.

Cause: for a second after a return a removal may be the end of a lease of the copy. Only a reader that had listed the new era itself knew that; one that had learned it from another instance took the removal as certain.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -376,9 +376,11 @@
     this->gap = {from, to};
 }
 
-void published::log_new_era(const core::source_position& position)
+void published::begin_era(const core::source_position& position,
+                          core::time_point now)
 {
     ++this->counts.eras_begun;
+    this->era_begin = now;
     this->ended_removals.clear();
     log::write(log::level::warning, "source_came_back_older",
                {log::kv("known", core::format_position(this->current)),
@@ -398,7 +400,7 @@
     const core::source_position& position = missing.state.position;
     if (this->is_return(position))
     {
-        this->log_new_era(position);
+        this->begin_era(position, now);
     }
     bool has_changes = false;
     // One line instead of one for each server: all instances list all servers.
--- a/medlarbarrow/net/published.hpp
+++ b/medlarbarrow/net/published.hpp
@@ -139,6 +139,13 @@
         return this->raised_at;
     }
 
+    /// When this instance learned that the source has come back from a copy.
+    /// Empty if it has not.
+    std::optional<core::time_point> era_began_at() const noexcept
+    {
+        return this->era_begin;
+    }
+
     /// Null before the first valid document.
     const std::shared_ptr<const core::document>& document() const noexcept
     {
@@ -200,7 +207,7 @@
     bool may_lack_removal_after(const core::source_position& position) const;
     bool is_other_era(const core::source_position& position) const noexcept;
     bool is_return(const core::source_position& position) const noexcept;
-    void log_new_era(const core::source_position& position);
+    void begin_era(const core::source_position& position, core::time_point now);
     bool replace_items(const std::vector<published_item>& listed,
                        const std::set<std::string>& listed_keys,
                        const removal& missing,
@@ -258,6 +265,7 @@
     std::map<std::string, std::string> lapsing_servers;
     core::source_position current;
     core::time_point raised_at{};
+    std::optional<core::time_point> era_begin;
     std::shared_ptr<const core::document> current_document;
     core::server_registry registry;
     published_counters counts;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -646,6 +646,53 @@
     EXPECT_EQ(this->usable_servers(), 2U);
 }
 
+// Guards against a live server that is dropped after the return: its lease in
+// the copy runs out before it has written again.
+TEST_F(a_reader_of_a_copied_store, keeps_a_server_whose_lease_ends_at_once)
+{
+    this->store.restore_copy();
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->published.position().era == this->store.era();
+        }));
+    this->store.remove("servers/i-1");
+    EXPECT_TRUE(this->follows_store());
+    EXPECT_EQ(this->usable_servers(), 1U);
+    EXPECT_TRUE(this->run_until(
+        [this]
+        {
+            return this->usable_servers() == 0;
+        }));
+}
+
+// Guards against the same at a reader that has learned of the return from
+// another instance.
+TEST_F(a_reader_of_a_copied_store, keeps_such_a_server_after_news_of_a_peer)
+{
+    this->reader->set_reading_enabled(false);
+    this->io.run_for(2s);
+    this->io.restart();
+    this->store.restore_copy();
+    net::published peer{platform::read_item, [] {}};
+    auto peer_reader = platform::store::create(
+        this->io, {"127.0.0.1", this->store.port()}, peer);
+    ASSERT_TRUE(peer_reader);
+    (*peer_reader)->start();
+    ASSERT_TRUE(this->run_until(
+        [&peer]
+        {
+            return peer.revision() > 0;
+        }));
+    ASSERT_EQ(this->published.position().era + 1, this->store.era());
+    ASSERT_FALSE(this->published.apply_text(
+        peer.text_since(this->published.position()), core::boot_clock::now()));
+    this->reader->set_reading_enabled(true);
+    this->store.remove("servers/i-1");
+    EXPECT_TRUE(this->follows_store());
+    EXPECT_EQ(this->usable_servers(), 1U);
+}
+
 // Guards against calls without end after the return, and against a listing of
 // two eras, whose first pages are not in force any more.
 TEST_F(a_reader_of_a_copied_store, lists_again_when_the_store_returns_meanwhile)
