--- a/tests/body_crowd_test.cpp
+++ b/tests/body_crowd_test.cpp
@@ -15,20 +15,8 @@
 namespace
 {
 
-#if defined(__SANITIZE_ADDRESS__)
-constexpr std::size_t memory_factor = 4; // the sanitizer's own memory
-#elif defined(__has_feature)
-#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
-constexpr std::size_t memory_factor = 4; // the sanitizer's own memory
-#else
-constexpr std::size_t memory_factor = 1;
-#endif
-#else
-constexpr std::size_t memory_factor = 1;
-#endif
-
 /// Half of what the users' machines have.
-constexpr std::size_t max_peak_kib = memory_factor * (130U << 10U);
+constexpr std::size_t max_peak_kib = sanitizer_memory_factor * (130U << 10U);
 
 /// Descriptors of the users' machines, and of a smaller one.
 constexpr unsigned machine_files = 4100;
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -21,6 +21,20 @@
 namespace medlarbarrow::tests
 {
 
+/// Bounds for the memory of a process are multiplied by this: a sanitizer needs
+/// memory of its own.
+#if defined(__SANITIZE_ADDRESS__)
+inline constexpr std::size_t sanitizer_memory_factor = 4;
+#elif defined(__has_feature)
+#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
+inline constexpr std::size_t sanitizer_memory_factor = 4;
+#else
+inline constexpr std::size_t sanitizer_memory_factor = 1;
+#endif
+#else
+inline constexpr std::size_t sanitizer_memory_factor = 1;
+#endif
+
 /// Returns a TCP port of the loopback address that is free now, or 0 if there
 /// is none. Test processes that run in parallel start their search at different
 /// ports. The range lies below the ephemeral ports that the system assigns
