Tell the owner of answers from their start, and of reading by its bytes

Callers would see: a slow but steady reader is cut; an answer is cut although nobody waits, or although its caller reads again; servers are suspected because their answers aren't read.

Cause: the owner heard of such an answer after 0.6 s at the earliest, when it was overdue and had raised suspicion, or after its grant had expired; it looked at free slots, not at requests that wait. Progress was what the kernel had taken over, which comes in large steps, and a write that the kernel took whole was not counted. The reply of the owner was obeyed however late it came.

Change: the owner hears when an answer begins to be passed on, each second after that, and each 0.1 s while it is unread. Bytes count once the caller's machine has acknowledged them (SIOCOUTQ). An answer ends only while another request finds no slot, counting the servers that may be chosen, also suspected ones, and only if its caller still does not read. An unknown grant ends nothing: that was claimed for a change of the owner, whose new owner is not told.

Eight cases of placement_uploads_test are new or changed with the function.

--- a/medlarbarrow/core/fleet_messages.hpp
+++ b/medlarbarrow/core/fleet_messages.hpp
@@ -79,17 +79,18 @@
     std::uint32_t shard = 0;  ///< number of the shard
 };
 
-/// Tells the owner that the caller has stopped reading the answer to a granted
-/// request. Repeated while that lasts.
-struct unread_call
+/// Tells the owner that the answer to a granted request is passed on to the
+/// caller as it comes. Repeated while that lasts.
+struct stream_call
 {
     shard_id shard;
     grant_id grant;
+    bool unread = false; ///< the caller has stopped reading
 };
 
-/// Answers an unread_call if the send has to end, see
-/// placement::record_unread_answer().
-struct unread_reply
+/// Answers a stream_call if the send has to end, see
+/// placement::record_stream().
+struct stream_reply
 {
     std::uint64_t number = 0; ///< of the grant
 };
@@ -133,8 +134,8 @@
                                    place_reply,
                                    done_call,
                                    done_reply,
-                                   unread_call,
-                                   unread_reply,
+                                   stream_call,
+                                   stream_reply,
                                    shard_crash_report,
                                    crash_suspects>;
 
--- a/medlarbarrow/core/placement.cpp
+++ b/medlarbarrow/core/placement.cpp
@@ -478,6 +478,7 @@
             return *placed;
         }
     }
+    this->lacked_slot_at = now;
     const duration wait =
         this->expected_wait(request.rank, request.body_arriving, now);
     if (wait + this->typical_duration(request) >
@@ -604,7 +605,8 @@
 // A request that runs far longer than its kind of work usually does raises the
 // suspicion of its server while it still runs: further requests would be lost
 // to the server until it ends. One whose body was still arriving, or whose
-// answer is not read, may run long because of its caller, and raises none.
+// answer has begun and is passed on as it comes, may run long because of its
+// caller, and raises none.
 // Grants that have expired are cancelled.
 void placement::check_active_grants(time_point now)
 {
@@ -612,7 +614,7 @@
     for (auto& [id, active] : this->grants)
     {
         const bool waits_for_caller =
-            active.request.body_arriving || active.is_unread(now);
+            active.request.body_arriving || active.streaming;
         if (!active.overdue && !waits_for_caller && now >= active.overdue_at)
         {
             active.overdue = true;
--- a/medlarbarrow/core/placement.hpp
+++ b/medlarbarrow/core/placement.hpp
@@ -142,7 +142,8 @@
 /// the trusted servers together, and at most half of those of each server; at
 /// least one in both cases. Callers may never send the rest of such bodies, and
 /// the other requests must find a slot meanwhile. Answers that callers don't
-/// read count with them, and have to end while no slot is free.
+/// read have to end while they and such bodies hold more than that and another
+/// request finds no slot.
 class placement
 {
 public:
@@ -184,12 +185,14 @@
     void
     hold(std::uint64_t instance, const server_notice& notice, time_point now);
 
-    /// Records that the caller of a running request has stopped reading the
-    /// answer, so that the server waits. Returns whether the send has to end:
-    /// no server has a free slot, and the answer is one of those that have been
-    /// unread for longest among the requests beyond half of the slots that wait
-    /// for their callers. An unknown grant has to end if no slot is free.
-    bool record_unread_answer(const grant_id& grant, time_point now);
+    /// Records that the answer to a running request is passed on to the caller
+    /// as it comes. A long duration then tells nothing about the server, and
+    /// the grant holds its slot also beyond the deadline, while reports come.
+    /// `unread`: the caller has stopped reading, so that the server waits.
+    /// Returns whether the send has to end: other requests find no slot, and
+    /// the answer is one of those that have been unread for longest among the
+    /// requests beyond half of the slots that wait for their callers.
+    bool record_stream(const grant_id& grant, bool unread, time_point now);
 
     /// Gives up a request that waits or a grant that was not used.
     void cancel(const grant_id& grant, time_point now);
@@ -263,6 +266,7 @@
         time_point expires_at{}; ///< then counts as cancelled
         bool overdue = false;    ///< it has raised its server's suspicion
         bool trial = false;      ///< of a server that failed with others
+        bool streaming = false;  ///< its answer is passed on as it comes
         /// Since when the caller has not read the answer, and until when the
         /// last report of that holds.
         time_point unread_since{};
@@ -344,11 +348,12 @@
                                 bool waited_long,
                                 time_point now) const;
     std::map<std::string_view, double> slowness_by_server(time_point now) const;
-    std::uint32_t trusted_slots(time_point now) const;
     std::uint32_t count_arriving_bodies() const;
     bool must_wait_for_slot(const place_request& request, time_point now) const;
     bool has_request_ahead(const place_request& request) const;
-    bool is_among_longest_unread(const grant_id& grant, time_point now) const;
+    bool is_among_longest_unread(const grant_id& grant,
+                                 const overview& servers_now,
+                                 time_point now) const;
     double cost_of(const server_state& server,
                    const place_request& request,
                    double slowness,
@@ -409,6 +414,8 @@
     /// hold have no entry.
     std::map<std::uint64_t, server_holds> holds;
     std::vector<queued_request> queue;
+    /// Last time when a request could not be placed at once.
+    time_point lacked_slot_at{};
     std::unordered_map<std::uint32_t, work_time> work_times;
     std::shared_ptr<crash_records> crashes;
     std::vector<crash_event> new_crashes;
--- a/medlarbarrow/core/placement_callers.cpp
+++ b/medlarbarrow/core/placement_callers.cpp
@@ -11,21 +11,16 @@
 namespace
 {
 
-/// An instance reports an unread answer several times in this time.
-constexpr std::chrono::seconds unread_report_lifetime{3};
+/// An instance reports an answer that it passes on, and one that is not read,
+/// several times in these times.
+constexpr std::chrono::seconds stream_report_lifetime{3};
+constexpr std::chrono::milliseconds unread_report_lifetime{500};
 
-} // namespace
+/// Other requests count as waiting for a slot for so long after one has found
+/// none.
+constexpr std::chrono::seconds lacking_slot_time{1};
 
-// Slots of the trusted servers.
-std::uint32_t placement::trusted_slots(time_point now) const
-{
-    std::uint32_t slots = 0;
-    for (const auto& [name, server] : this->servers)
-    {
-        slots += server.suspected ? 0 : this->capacity_of(server, now);
-    }
-    return slots;
-}
+} // namespace
 
 // Requests whose bodies are still arriving that run at present.
 std::uint32_t placement::count_arriving_bodies() const
@@ -43,8 +38,16 @@
 bool placement::must_wait_for_slot(const place_request& request,
                                    time_point now) const
 {
-    return request.body_arriving && this->count_arriving_bodies() >=
-                                        caller_slots(this->trusted_slots(now));
+    if (!request.body_arriving)
+    {
+        return false;
+    }
+    std::uint32_t slots = 0;
+    for (const auto& [name, server] : this->servers)
+    {
+        slots += server.suspected ? 0 : this->capacity_of(server, now);
+    }
+    return this->count_arriving_bodies() >= caller_slots(slots);
 }
 
 // Whether a waiting request goes first. One whose body is still arriving goes
@@ -59,47 +62,70 @@
                        });
 }
 
-// The grant holds its slot for as long as its answer is reported as unread,
-// also beyond the deadline: its server is still at work.
-bool placement::record_unread_answer(const grant_id& grant, time_point now)
+bool placement::record_stream(const grant_id& grant,
+                              bool unread,
+                              time_point now)
 {
-    const bool has_free_slot = this->make_overview(now).free_places > 0;
     const auto position = this->grants.find(grant);
     if (position == this->grants.end())
     {
-        return !has_free_slot;
+        return false;
     }
     active_grant& reported = position->second;
+    reported.streaming = true;
+    reported.expires_at =
+        std::max(reported.expires_at, now + stream_report_lifetime);
+    if (!unread)
+    {
+        reported.unread_until = now;
+        return false;
+    }
     if (!reported.is_unread(now))
     {
         reported.unread_since = now;
     }
     reported.unread_until = now + unread_report_lifetime;
-    reported.expires_at = std::max(reported.expires_at, reported.unread_until);
-    return !has_free_slot && this->is_among_longest_unread(grant, now);
+    const bool others_wait =
+        !this->queue.empty() || now - this->lacked_slot_at < lacking_slot_time;
+    const overview servers_now = this->make_overview(now);
+    return others_wait && servers_now.free_places == 0 &&
+           this->is_among_longest_unread(grant, servers_now, now);
 }
 
 // Whether the answer is one of those that have to end until the requests that
-// wait for their callers hold no more than their part of the slots.
+// wait for their callers hold no more than their part of the slots. Only the
+// servers count that others may use.
 bool placement::is_among_longest_unread(const grant_id& grant,
+                                        const overview& servers_now,
                                         time_point now) const
 {
+    std::uint32_t slots = 0;
+    for (const auto& [name, server] : this->servers)
+    {
+        slots += this->is_eligible(server, servers_now, false)
+                     ? this->capacity_of(server, now)
+                     : 0;
+    }
     const active_grant& reported = this->grants.at(grant);
     std::uint32_t waiting = 0;
     std::uint32_t unread_for_longer = 0;
+    bool counts = false;
     for (const auto& [id, active] : this->grants)
     {
-        const bool has_slot = this->servers.contains(active.server);
-        const bool is_unread = has_slot && active.is_unread(now);
+        const auto server = this->servers.find(active.server);
+        if (server == this->servers.end() ||
+            !this->is_eligible(server->second, servers_now, false))
+        {
+            continue;
+        }
+        const bool is_unread = active.is_unread(now);
         const bool is_older = std::tie(active.unread_since, id) <
                               std::tie(reported.unread_since, grant);
-        waiting +=
-            is_unread || (has_slot && active.request.body_arriving) ? 1 : 0;
+        waiting += is_unread || active.request.body_arriving ? 1 : 0;
         unread_for_longer += is_unread && is_older ? 1 : 0;
+        counts |= id == grant;
     }
-    const std::uint32_t allowed = caller_slots(this->trusted_slots(now));
-    return waiting > allowed + unread_for_longer &&
-           this->servers.contains(reported.server);
+    return counts && waiting > caller_slots(slots) + unread_for_longer;
 }
 
 } // namespace medlarbarrow::core
--- a/medlarbarrow/net/caller.cpp
+++ b/medlarbarrow/net/caller.cpp
@@ -2,8 +2,10 @@
 #include <bit>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <medlarbarrow/net/caller.hpp>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace medlarbarrow::net
 {
@@ -529,6 +531,18 @@
     this->operation_timer.cancel();
 }
 
+// What the system has taken over may lie in its buffer for long.
+std::uint64_t caller_connection::bytes_taken()
+{
+    int unacknowledged = 0;
+    const bool is_known =
+        !this->closed && ::ioctl(this->stream.socket().native_handle(),
+                                 SIOCOUTQ, &unacknowledged) == 0;
+    const auto queued =
+        is_known ? static_cast<std::uint64_t>(unacknowledged) : 0;
+    return this->written_bytes - std::min(queued, this->written_bytes);
+}
+
 // Writes all buffers. False when that fails or the caller accepts no further
 // byte for stalled_write_limit.
 asio::awaitable<bool> caller_connection::write_buffers(
@@ -541,7 +555,7 @@
     error_code failure;
     this->start_operation_timer(stalled_write_limit);
     const std::size_t total = asio::buffer_size(buffers);
-    // Called before and after each part of the write.
+    // Called before the write and after each part of it but the last.
     const std::uint64_t written_before = this->written_bytes;
     const auto remaining =
         [this, total, written_before](const error_code& part_failure,
@@ -555,10 +569,11 @@
         return part_failure ? 0 : total - written;
     };
     this->writing = true;
-    co_await asio::async_write(
+    const std::size_t written = co_await asio::async_write(
         this->stream, buffers, remaining,
         asio::redirect_error(asio::use_awaitable, failure));
     this->writing = false;
+    this->written_bytes = written_before + written;
     this->stop_operation_timer();
     co_return !failure;
 }
--- a/medlarbarrow/net/caller.hpp
+++ b/medlarbarrow/net/caller.hpp
@@ -202,11 +202,9 @@
         return this->writing;
     }
 
-    /// Bytes of answers that the system has taken to pass on to the caller.
-    std::uint64_t bytes_written() const
-    {
-        return this->written_bytes;
-    }
+    /// Bytes of answers that the caller's machine has acknowledged. Without TLS
+    /// only.
+    std::uint64_t bytes_taken();
 
     unsigned answer_status() const
     {
--- a/medlarbarrow/net/fleet.cpp
+++ b/medlarbarrow/net/fleet.cpp
@@ -133,9 +133,9 @@
     void on_message(core::instance_address sender,
                     const core::done_reply& message);
     void on_message(core::instance_address sender,
-                    const core::unread_call& message);
+                    const core::stream_call& message);
     void on_message(core::instance_address sender,
-                    const core::unread_reply& message);
+                    const core::stream_reply& message);
     void on_message(core::instance_address sender,
                     const core::shard_crash_report& message);
     void on_message(core::instance_address sender,
@@ -598,7 +598,7 @@
 }
 
 void fleet::state::on_message(core::instance_address sender,
-                              const core::unread_call& message)
+                              const core::stream_call& message)
 {
     const auto holder =
         static_cast<core::instance_address>(message.grant.instance >> 32U);
@@ -607,14 +607,14 @@
         ++this->counter_values.datagrams_invalid;
         return;
     }
-    if (this->owned_shards.on_unread_answer(message))
+    if (this->owned_shards.on_stream(message))
     {
-        this->send(sender, core::unread_reply{message.grant.number});
+        this->send(sender, core::stream_reply{message.grant.number});
     }
 }
 
 void fleet::state::on_message(core::instance_address sender,
-                              const core::unread_reply& message)
+                              const core::stream_reply& message)
 {
     this->places.on_reply(sender, message);
 }
@@ -706,10 +706,11 @@
     this->self->places.report_send_end(end, notice);
 }
 
-void fleet::report_unread_answer(const core::grant_id& grant,
-                                 std::function<void()> end_send)
+void fleet::report_stream(const core::grant_id& grant,
+                          bool unread,
+                          std::function<void()> end_send)
 {
-    this->self->places.report_unread_answer(grant, std::move(end_send));
+    this->self->places.report_stream(grant, unread, std::move(end_send));
 }
 
 void fleet::record_leaving(const core::leaving_run& run, leaving_source from)
--- a/medlarbarrow/net/fleet.hpp
+++ b/medlarbarrow/net/fleet.hpp
@@ -125,11 +125,12 @@
     void report_send_end(const core::send_end& end,
                          const core::server_notice& notice = {});
 
-    /// Tells the owner of a grant that the caller has stopped reading the
-    /// answer. Calls `end_send` if the send has to end, so that the server is
-    /// free for others.
-    void report_unread_answer(const core::grant_id& grant,
-                              std::function<void()> end_send);
+    /// Tells the owner of a grant that the answer is passed on to the caller as
+    /// it comes, and whether the caller has stopped reading. Calls `end_send`
+    /// if the send has to end, so that the server is free for others.
+    void report_stream(const core::grant_id& grant,
+                       bool unread,
+                       std::function<void()> end_send);
 
     /// Marks a run of a server as leaving and passes that on to the other
     /// instances.
--- a/medlarbarrow/net/fleet_codec.cpp
+++ b/medlarbarrow/net/fleet_codec.cpp
@@ -25,8 +25,8 @@
     source_update = 9,
     shard_crash_report = 10,
     crash_suspects = 11,
-    unread_call = 12,
-    unread_reply = 13
+    stream_call = 12,
+    stream_reply = 13
 };
 
 /// Kind of the answer in a place_reply. The numbers must not change either.
@@ -239,19 +239,20 @@
     return elements;
 }
 
-json encode(const core::unread_call& message)
+json encode(const core::stream_call& message)
 {
-    json elements = header(message_kind::unread_call);
+    json elements = header(message_kind::stream_call);
     elements.push_back(message.shard.service);
     elements.push_back(message.shard.number);
     elements.push_back(message.grant.instance);
     elements.push_back(message.grant.number);
+    elements.push_back(message.unread);
     return elements;
 }
 
-json encode(const core::unread_reply& message)
+json encode(const core::stream_reply& message)
 {
-    json elements = header(message_kind::unread_reply);
+    json elements = header(message_kind::stream_reply);
     elements.push_back(message.number);
     return elements;
 }
@@ -477,13 +478,14 @@
     case message_kind::done_reply:
         return core::done_reply{elements.at(1).get<std::uint64_t>(),
                                 optional_element<std::uint32_t>(elements, 2)};
-    case message_kind::unread_call:
-        return core::unread_call{{elements.at(1).get<std::string>(),
+    case message_kind::stream_call:
+        return core::stream_call{{elements.at(1).get<std::string>(),
                                   elements.at(2).get<std::uint32_t>()},
                                  {elements.at(3).get<std::uint64_t>(),
-                                  elements.at(4).get<std::uint64_t>()}};
-    case message_kind::unread_reply:
-        return core::unread_reply{elements.at(1).get<std::uint64_t>()};
+                                  elements.at(4).get<std::uint64_t>()},
+                                 elements.at(5).get<bool>()};
+    case message_kind::stream_reply:
+        return core::stream_reply{elements.at(1).get<std::uint64_t>()};
     case message_kind::shard_crash_report:
         return decode_shard_crash_report(elements);
     case message_kind::crash_suspects:
--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -23,12 +23,16 @@
 constexpr std::string_view arriving_kind_suffix = " (body arriving)";
 
 /// A caller that takes fewer bytes of an answer than these in so many checks
-/// reads too slowly. Checks are counted, not the time: a pause of this instance
-/// is no fault of the caller.
+/// has stopped reading. Checks are counted, not the time: a pause of this
+/// instance is no fault of the caller.
 constexpr std::uint64_t min_read_progress_bytes = 16U << 10U;
 constexpr std::chrono::milliseconds reading_check_period{100};
 constexpr unsigned max_checks_without_progress = 5;
 
+/// The owner hears of an answer that is passed on and read once in so many
+/// checks.
+constexpr unsigned checks_per_report = 10;
+
 core::time_point now()
 {
     return core::boot_clock::now();
@@ -300,6 +304,7 @@
         }
         self->flow->on_answer_started(number);
         self->progress.notify();
+        self->report_reading(number, false);
         self->watch_reading(number);
         return true;
     };
@@ -380,31 +385,54 @@
 
 void gateway::state::session::check_reading(std::size_t number)
 {
-    const std::optional<core::grant_id> grant = this->attempts[number].grant;
-    if (!grant)
+    if (!this->attempts[number].grant)
     {
         return;
     }
     this->watch_reading(number);
-    const std::uint64_t written = this->caller->bytes_written();
+    const std::uint64_t taken = this->caller->bytes_taken();
+    ++this->checks_without_progress;
     if (!this->caller->is_writing() ||
-        written - this->bytes_at_progress >= min_read_progress_bytes)
+        taken - this->bytes_at_progress >= min_read_progress_bytes)
     {
-        this->bytes_at_progress = written;
+        this->bytes_at_progress = taken;
         this->checks_without_progress = 0;
-        return;
     }
-    if (++this->checks_without_progress < max_checks_without_progress)
+    const bool unread = this->is_answer_unread();
+    if (unread || this->reported_unread ||
+        ++this->checks_since_report >= checks_per_report)
+    {
+        this->report_reading(number, unread);
+    }
+}
+
+bool gateway::state::session::is_answer_unread() const
+{
+    return this->caller->is_writing() &&
+           this->checks_without_progress >= max_checks_without_progress &&
+           this->caller->bytes_taken() - this->bytes_at_progress <
+               min_read_progress_bytes;
+}
+
+// Tells the owner how the caller reads. Its reply may come late, when the
+// caller reads again.
+void gateway::state::session::report_reading(std::size_t number, bool unread)
+{
+    this->checks_since_report = 0;
+    this->reported_unread = unread;
+    const std::optional<core::grant_id> grant = this->attempts[number].grant;
+    if (!grant)
     {
         return;
     }
-    this->shared->peers.report_unread_answer(
-        *grant,
+    this->shared->peers.report_stream(
+        *grant, unread,
         [weak = this->weak_from_this(), number,
          number_at_start = this->request_number]
         {
             const auto self = weak.lock();
-            if (self && self->request_number == number_at_start)
+            if (self && self->request_number == number_at_start &&
+                self->is_answer_unread())
             {
                 self->end_unread_answer(number);
             }
--- a/medlarbarrow/net/gateway_session.cpp
+++ b/medlarbarrow/net/gateway_session.cpp
@@ -176,6 +176,7 @@
     this->account = nullptr;
     this->body_stalled = false;
     this->checks_without_progress = 0;
+    this->reported_unread = false;
     ++this->request_number;
 }
 
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -203,6 +203,8 @@
     void cancel(std::size_t number);
     void watch_reading(std::size_t number);
     void check_reading(std::size_t number);
+    void report_reading(std::size_t number, bool unread);
+    bool is_answer_unread() const;
     void end_unread_answer(std::size_t number);
     asio::awaitable<void> deliver(std::size_t number);
     asio::awaitable<void> refuse(core::result_code code,
@@ -245,8 +247,10 @@
 
     // How the caller reads an answer that is passed on as it comes.
     asio::steady_timer reading_timer;
-    std::uint64_t bytes_at_progress = 0; ///< written when it last read enough
+    std::uint64_t bytes_at_progress = 0; ///< taken when it last read enough
     unsigned checks_without_progress = 0;
+    unsigned checks_since_report = 0;
+    bool reported_unread = false;
 };
 
 } // namespace medlarbarrow::net
--- a/medlarbarrow/net/place_calls.cpp
+++ b/medlarbarrow/net/place_calls.cpp
@@ -406,9 +406,10 @@
                  granted.owner);
 }
 
-// The report may be lost: it is made again while the answer is not read.
-void place_calls::report_unread_answer(const core::grant_id& grant,
-                                       std::function<void()> end_send)
+// The report may be lost: it is made again while the answer is passed on.
+void place_calls::report_stream(const core::grant_id& grant,
+                                bool unread,
+                                std::function<void()> end_send)
 {
     const auto position = this->grants.find(grant.number);
     if (position == this->grants.end())
@@ -416,14 +417,14 @@
         return;
     }
     open_grant& granted = position->second;
-    const core::unread_call call{granted.shard, grant};
+    const core::stream_call call{granted.shard, grant, unread};
     if (granted.owner != this->parts.own_address)
     {
         granted.end_send = std::move(end_send);
         this->parts.send(granted.owner, call);
         return;
     }
-    if (this->parts.owned.on_unread_answer(call))
+    if (this->parts.owned.on_stream(call))
     {
         end_send();
     }
@@ -494,7 +495,7 @@
 }
 
 void place_calls::on_reply(core::instance_address sender,
-                           const core::unread_reply& message)
+                           const core::stream_reply& message)
 {
     const auto position = this->grants.find(message.number);
     if (position == this->grants.end() || position->second.owner != sender)
--- a/medlarbarrow/net/place_calls.hpp
+++ b/medlarbarrow/net/place_calls.hpp
@@ -64,17 +64,19 @@
     void report_send_end(const core::send_end& end,
                          const core::server_notice& notice = {});
 
-    /// Tells the owner that the caller has stopped reading the answer. Calls
-    /// `end_send`, possibly before it returns, if the send has to end.
-    void report_unread_answer(const core::grant_id& grant,
-                              std::function<void()> end_send);
+    /// Tells the owner that the answer is passed on to the caller as it comes,
+    /// and whether the caller has stopped reading. Calls `end_send`, possibly
+    /// before it returns, if the send has to end.
+    void report_stream(const core::grant_id& grant,
+                       bool unread,
+                       std::function<void()> end_send);
 
     void on_reply(core::instance_address sender,
                   const core::place_reply& message);
     void on_reply(core::instance_address sender,
                   const core::done_reply& message);
     void on_reply(core::instance_address sender,
-                  const core::unread_reply& message);
+                  const core::stream_reply& message);
 
     /// Takes the answer of this instance itself to a request that had to wait.
     void on_own_answer(const core::grant_id& grant,
@@ -123,7 +125,7 @@
         core::instance_address owner = 0;
         std::string server;
         std::uint64_t content_digest = 0;
-        /// Set once the answer has been reported as unread.
+        /// Of the last report of its answer.
         std::function<void()> end_send{};
     };
 
--- a/medlarbarrow/net/service_owners.cpp
+++ b/medlarbarrow/net/service_owners.cpp
@@ -189,13 +189,14 @@
     this->start_timer();
 }
 
-bool service_owners::on_unread_answer(const core::unread_call& unread)
+bool service_owners::on_stream(const core::stream_call& stream)
 {
     bool must_end = false;
     for (auto& [key, owned] : this->owned_shards)
     {
-        must_end |= key.shard == unread.shard &&
-                    owned.placement.record_unread_answer(unread.grant, now());
+        must_end |=
+            key.shard == stream.shard &&
+            owned.placement.record_stream(stream.grant, stream.unread, now());
     }
     return must_end;
 }
--- a/medlarbarrow/net/service_owners.hpp
+++ b/medlarbarrow/net/service_owners.hpp
@@ -71,9 +71,9 @@
     /// looked up in all shards.
     void on_send_ended(const core::done_call& ended);
 
-    /// Records that the answer to a granted request is not read. Returns whether
-    /// its send has to end, see placement::record_unread_answer().
-    bool on_unread_answer(const core::unread_call& unread);
+    /// Records that the answer to a granted request is passed on as it comes.
+    /// Returns whether its send has to end, see placement::record_stream().
+    bool on_stream(const core::stream_call& stream);
 
     /// What is known of requests that crash servers, over all shards.
     core::crash_records& crashes() noexcept
--- a/tests/body_crowd_test.cpp
+++ b/tests/body_crowd_test.cpp
@@ -4,6 +4,7 @@
 #include "client_crowd.hpp"
 #include "planned_work_fixture.hpp"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -463,10 +464,11 @@
 
     /// Connects clients that ask for long answers and read nothing, and waits
     /// until these have come.
-    std::vector<tcp::socket> ask_for_answers(asio::io_context& io,
-                                             std::size_t count) const
+    std::vector<tcp::socket>
+    ask_for_answers(asio::io_context& io,
+                    std::size_t count,
+                    int receive_buffer_bytes = 4096) const
     {
-        constexpr int receive_buffer_bytes = 4096;
         std::vector<tcp::socket> readers;
         for (std::size_t index = 0; index < count; ++index)
         {
@@ -644,6 +646,41 @@
     EXPECT_EQ(response.get().body().size(), unread_answer_bytes);
 }
 
+// Guards against a client that reads slowly and is taken for one that has
+// stopped, among others that have, and against these others keeping all slots.
+TEST_F(an_instance_with_few_slots, cuts_no_answer_that_is_read_slowly)
+{
+    constexpr std::size_t reader_count = 30;
+    constexpr std::size_t bytes_per_step = 50'000;
+    constexpr auto step = 50ms;
+    constexpr int usual_buffer_bytes = 131'072;
+    this->start();
+    asio::io_context io;
+    auto readers = this->ask_for_answers(io, 1, usual_buffer_bytes);
+    tcp::socket& slow = readers.front();
+    std::atomic<bool> is_done = false;
+    error_code failure;
+    std::thread reading(
+        [&]
+        {
+            std::vector<char> bytes(bytes_per_step);
+            std::size_t received = 0;
+            while (!is_done && !failure && received < unread_answer_bytes)
+            {
+                received += asio::read(slow, asio::buffer(bytes), failure);
+                std::this_thread::sleep_for(step);
+            }
+        });
+    const auto others = this->ask_for_answers(io, reader_count);
+    this->expect_ordinary_served();
+    is_done = true;
+    reading.join();
+    EXPECT_FALSE(failure) << failure.message();
+    const std::string log = this->instances[0]->log();
+    EXPECT_NE(log.find("event=unread_answer_ended id=unread-"),
+              std::string::npos);
+}
+
 /// Given one more service, whose servers accept connections and read nothing.
 class an_instance_with_silent_servers : public an_instance_with_few_slots
 {
--- a/tests/place_calls_test.cpp
+++ b/tests/place_calls_test.cpp
@@ -298,19 +298,20 @@
     int ended = 0;
     const auto report = [this, &ended]
     {
-        this->calls.report_unread_answer(this->grant,
-                                         [&ended]
-                                         {
-                                             ++ended;
-                                         });
+        this->calls.report_stream(this->grant, true,
+                                  [&ended]
+                                  {
+                                      ++ended;
+                                  });
     };
-    const core::unread_reply reply{this->grant.number};
+    const core::stream_reply reply{this->grant.number};
     this->calls.on_reply(owner, reply);
     report();
-    const auto& call = std::get<core::unread_call>(this->sent.back().message);
+    const auto& call = std::get<core::stream_call>(this->sent.back().message);
     EXPECT_EQ(this->sent.back().recipient, owner);
     EXPECT_EQ(call.shard.number, first);
     EXPECT_EQ(call.grant, this->grant);
+    EXPECT_TRUE(call.unread);
     this->calls.on_reply(this->owner_of(1 - first), reply);
     EXPECT_EQ(ended, 0);
     this->calls.on_reply(owner, reply);
--- a/tests/placement_uploads_test.cpp
+++ b/tests/placement_uploads_test.cpp
@@ -226,10 +226,14 @@
     EXPECT_EQ(this->owner.spread(this->now).failures, 0U);
 }
 
-/// And ordinary requests whose callers stop reading the answers.
+/// And ordinary requests whose answers are passed on as they come, to callers
+/// that stop reading.
 class an_owner_with_unread_answers : public an_owner_of_a_service_with_uploads
 {
 protected:
+    /// An instance needs so long to see that a caller has stopped.
+    static constexpr auto unseen_time = 1s;
+
     /// Starts ordinary requests that all get a server.
     void start_answers(int count)
     {
@@ -237,9 +241,16 @@
         {
             this->answers.push_back(this->ordinary());
             ASSERT_NE(this->place(this->answers.back()), "");
+            this->report(index, false);
         }
     }
 
+    bool report(std::size_t index, bool unread)
+    {
+        return this->owner.record_stream(this->answers[index].grant, unread,
+                                         this->now);
+    }
+
     /// Reports the answers as unread, one after the other. Returns the numbers
     /// of those that have to end.
     std::set<std::size_t> report_all()
@@ -248,8 +259,7 @@
         for (std::size_t index = 0; index < this->answers.size(); ++index)
         {
             this->now += 1ms;
-            if (this->owner.record_unread_answer(this->answers[index].grant,
-                                                 this->now))
+            if (this->report(index, true))
             {
                 ended.insert(index);
             }
@@ -257,6 +267,12 @@
         return ended;
     }
 
+    /// One more request, which finds no slot.
+    void let_one_wait()
+    {
+        EXPECT_EQ(this->place(this->ordinary()), "");
+    }
+
     static std::set<std::size_t> first(std::size_t count)
     {
         std::set<std::size_t> numbers;
@@ -275,6 +291,7 @@
 TEST_F(an_owner_with_unread_answers, ends_those_unread_for_longest)
 {
     this->start_answers(32);
+    this->let_one_wait();
     EXPECT_EQ(this->report_all(), first(0));
     EXPECT_EQ(this->report_all(), first(16));
     for (const std::size_t index : first(16))
@@ -283,25 +300,71 @@
     }
     this->answers.erase(this->answers.begin(), this->answers.begin() + 16);
     EXPECT_EQ(this->report_all(), first(0));
-    EXPECT_NE(this->place(this->ordinary()), "");
+    const auto placed = this->owner.tick(this->now);
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<core::placed>(placed.front().answer));
+}
+
+// Guards against callers that keep all slots since the servers are suspected:
+// requests beyond their slots get no answer in time.
+TEST_F(an_owner_with_unread_answers, ends_them_at_suspected_servers_in_use)
+{
+    this->start_answers(32);
+    this->let_one_wait();
+    this->now += 400ms;
+    this->owner.tick(this->now); // it gets a place beyond the slots
+    for (int step = 0; step < 40; ++step)
+    {
+        this->now += 25ms;
+        this->report_all();
+        this->owner.tick(this->now);
+    }
+    EXPECT_FALSE(this->owner.take_events().empty());
+    this->let_one_wait();
+    EXPECT_GE(this->report_all().size(), 16U);
 }
 
 // Guards against an answer that is ended although nobody needs its server.
-TEST_F(an_owner_with_unread_answers, ends_none_while_a_slot_is_free)
+TEST_F(an_owner_with_unread_answers, ends_none_while_nobody_waits)
 {
-    this->start_answers(31);
+    this->start_answers(32);
     for (int round = 0; round < 20; ++round)
     {
         EXPECT_EQ(this->report_all(), first(0));
     }
 }
 
+// Guards against the same while the one that waits can have a free slot.
+TEST_F(an_owner_with_unread_answers, ends_none_while_a_slot_is_free)
+{
+    this->start_answers(32);
+    this->let_one_wait();
+    this->report_all();
+    this->finish(this->answers.back(), core::send_outcome::succeeded);
+    this->answers.pop_back();
+    EXPECT_EQ(this->report_all(), first(0));
+}
+
+// Guards against an answer that counts as unread for longest although its
+// caller has read in between.
+TEST_F(an_owner_with_unread_answers, counts_from_the_last_time_it_was_read)
+{
+    this->start_answers(32);
+    this->let_one_wait();
+    this->report_all();
+    EXPECT_FALSE(this->report(0, false));
+    std::set<std::size_t> ended = this->report_all();
+    EXPECT_FALSE(ended.contains(0));
+    EXPECT_TRUE(ended.contains(1));
+}
+
 // Guards against bodies that hold half of the slots and answers that hold the
 // other half.
 TEST_F(an_owner_with_unread_answers, counts_arriving_bodies_with_them)
 {
     EXPECT_EQ(this->start_uploads(48).size(), 16U);
     this->start_answers(16);
+    this->let_one_wait();
     this->report_all();
     EXPECT_EQ(this->report_all(), first(16));
 }
@@ -323,26 +386,37 @@
     EXPECT_EQ(this->owner.running(), 0U);
 }
 
-// Guards against servers that are suspected because callers don't read.
+// Guards against servers that are suspected because callers don't read, also
+// before that is seen and after they read again.
 TEST_F(an_owner_with_unread_answers, suspects_no_server_for_them)
 {
     this->start_answers(16);
-    for (int step = 0; step < 100; ++step)
+    const core::time_point seen = this->now + unseen_time;
+    const core::time_point read_again = seen + 3s;
+    const core::time_point end = read_again + 2s;
+    while (this->now < end)
     {
-        this->report_all();
         this->now += 25ms;
         this->owner.tick(this->now);
+        for (std::size_t index = 0; index < this->answers.size(); ++index)
+        {
+            if (this->now >= seen)
+            {
+                this->report(index, this->now < read_again);
+            }
+        }
     }
     EXPECT_TRUE(this->owner.take_events().empty());
     EXPECT_EQ(this->owner.spread(this->now).failures, 0U);
 }
 
-// Guards against an answer beyond all bounds after a change of the owner, which
-// doesn't know the grant.
-TEST_F(an_owner_with_unread_answers, ends_an_unknown_one_if_no_slot_is_free)
+// Guards against a report that arrives after the end of its send, or at an
+// owner that has not granted it.
+TEST_F(an_owner_with_unread_answers, knows_nothing_of_other_grants)
 {
-    const core::grant_id unknown{9, 9};
-    EXPECT_FALSE(this->owner.record_unread_answer(unknown, this->now));
     this->start_answers(32);
-    EXPECT_TRUE(this->owner.record_unread_answer(unknown, this->now));
+    this->let_one_wait();
+    this->report_all();
+    EXPECT_FALSE(this->owner.record_stream({9, 9}, true, this->now));
+    EXPECT_EQ(this->owner.running(), 32U);
 }
