Keep a lapse a lapse when it is told once more

Found by reading, by a reviewer that had not seen the work. Callers would see: a live server out of use, for up to 15 s, after a return of the store that follows a lapse of its announcements within 2.3 s.

Cause: a removal of an item that is not held any more was recorded without its kind, and replaced the record of the same revision: a second word of a lapse, from a peer or the source, made it certain.

Change: the kind is recorded in both cases, and of two words about one revision a lapse counts. After the grace period it is a removal anyway.

--- a/medlarbarrow/net/published.cpp
+++ b/medlarbarrow/net/published.cpp
@@ -258,9 +258,12 @@
     const bool had_left =
         removed.had_left ||
         (last.had_left && removed.state.version <= last.state.version);
+    const bool is_same = removed.state.position == last.state.position;
+    const bool lapsed = removed.lapsed || (is_same && last.lapsed);
     if (removed.state.position >= last.state.position)
     {
         last = removed;
+        last.lapsed = lapsed;
     }
     last.state.version = version;
     last.had_left = had_left;
@@ -291,20 +294,20 @@
                        core::removal_kind kind,
                        core::time_point now)
 {
+    removal recorded = removed;
+    recorded.lapsed = kind == core::removal_kind::lapsed;
     const auto it = this->items.find(key);
     if (it == this->items.end())
     {
-        this->record_removal(key, removed);
+        this->record_removal(key, recorded);
         return false;
     }
     if (!core::is_ended_by(it->second.state, removed.state))
     {
         return false;
     }
-    removal recorded = removed;
     recorded.state.version =
         std::max(removed.state.version, it->second.state.version);
-    recorded.lapsed = kind == core::removal_kind::lapsed;
     const auto server = this->server_names.find(key);
     if (server != this->server_names.end())
     {
--- a/tests/published_era_test.cpp
+++ b/tests/published_era_test.cpp
@@ -354,10 +354,13 @@
         a_copied_source::SetUp();
         const std::uint64_t before = this->source.revision;
         this->source.remove(key_of(lapsed));
-        auto changes = this->source.changes_after(before);
-        changes.front().removal = core::removal_kind::lapsed;
-        this->first.apply_changes(changes, this->source.position(), this->now);
+        this->changes = this->source.changes_after(before);
+        this->changes.front().removal = core::removal_kind::lapsed;
+        this->first.apply_changes(this->changes, this->source.position(),
+                                  this->now);
     }
+
+    std::vector<published_item> changes;
 };
 
 // Guards against a server that has left, right after a return, and is used
@@ -388,6 +391,19 @@
     EXPECT_TRUE(this->uses(this->first, lapsed));
 }
 
+// Guards against the same if the instance hears of the lapse once more, from
+// one that takes it for a removal.
+TEST_F(a_source_with_a_lapsed_server, returns_after_a_second_word_of_the_lapse)
+{
+    this->changes.front().removal = core::removal_kind::certain;
+    this->first.apply_changes(this->changes, this->source.position(),
+                              this->now);
+    this->source.restore_copy();
+    this->read(this->first);
+    this->now += after_grace;
+    EXPECT_TRUE(this->uses(this->first, lapsed));
+}
+
 // Guards against a sound server that is dropped at once because the instance
 // that passes the new era on has never had it.
 TEST_F(a_source_back_from_its_copy, is_passed_on_by_an_instance_that_starts)
