--- a/medlarbarrow/net/gateway_attempts.cpp
+++ b/medlarbarrow/net/gateway_attempts.cpp
@@ -371,16 +371,12 @@
 // be buffered: the server waits with it.
 void gateway::state::session::watch_reading(std::size_t number)
 {
+    const auto check = [number](session& current)
+    {
+        current.check_reading(number);
+    };
     run_after(this->reading_timer, reading_check_period,
-              [weak = this->weak_from_this(), number,
-               number_at_start = this->request_number]
-              {
-                  const auto self = weak.lock();
-                  if (self && self->request_number == number_at_start)
-                  {
-                      self->check_reading(number);
-                  }
-              });
+              this->during_request(check));
 }
 
 void gateway::state::session::check_reading(std::size_t number)
@@ -425,18 +421,15 @@
     {
         return;
     }
-    this->shared->peers.report_stream(
-        *grant, unread,
-        [weak = this->weak_from_this(), number,
-         number_at_start = this->request_number]
+    const auto end_if_unread = [number](session& current)
+    {
+        if (current.is_answer_unread())
         {
-            const auto self = weak.lock();
-            if (self && self->request_number == number_at_start &&
-                self->is_answer_unread())
-            {
-                self->end_unread_answer(number);
-            }
-        });
+            current.end_unread_answer(number);
+        }
+    };
+    this->shared->peers.report_stream(*grant, unread,
+                                      this->during_request(end_if_unread));
 }
 
 // Ends the answer with a reset, so that the caller cannot take it for whole,
--- a/medlarbarrow/net/gateway_state.hpp
+++ b/medlarbarrow/net/gateway_state.hpp
@@ -178,6 +178,23 @@
 
     class request_scope;
 
+    /// Returns a function that calls the given one with this session, unless
+    /// the request in progress has ended by then.
+    template <class Function>
+    auto during_request(Function function)
+    {
+        return [weak = this->weak_from_this(),
+                number_at_start = this->request_number,
+                function = std::move(function)]
+        {
+            const auto self = weak.lock();
+            if (self && self->request_number == number_at_start)
+            {
+                function(*self);
+            }
+        };
+    }
+
     asio::awaitable<void> serve_requests();
     asio::awaitable<bool> serve_next();
     void clear_request();
