--- a/tests/body_crowd_test.cpp
+++ b/tests/body_crowd_test.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t full_body_bytes = 64 * mebibyte;
 constexpr std::size_t piece_bytes = 65536;
 constexpr std::size_t unread_answer_bytes = 30'000'000;
+/// Of a client's socket for what it receives.
+constexpr int small_buffer_bytes = 4096;
+constexpr int usual_buffer_bytes = 131'072;
 /// What a client withholds of its body.
 constexpr std::size_t withheld_bytes = 10;
 
@@ -373,7 +376,8 @@
     }
 
     void start(std::size_t max_body_bytes = full_body_bytes,
-               const std::string& timeout = long_timeout)
+               const std::string& timeout = long_timeout,
+               std::size_t instance_count = 1)
     {
         std::string text = make_config(1);
         replace_all(text, fmt::format("\"{}\"", route_timeout),
@@ -388,7 +392,7 @@
         replace_all(text, R"(["desk","/healthz"])",
                     R"(["silent","/healthz"],["desk","/healthz"])");
         this->store.put("op/config", text);
-        this->start_fleet(1);
+        this->start_fleet(instance_count);
         this->watch = std::make_unique<process_watch>(*this->instances[0],
                                                       this->max_files);
     }
@@ -467,7 +471,8 @@
     std::vector<tcp::socket>
     ask_for_answers(asio::io_context& io,
                     std::size_t count,
-                    int receive_buffer_bytes = 4096) const
+                    int receive_buffer_bytes = small_buffer_bytes,
+                    std::size_t instance = 0) const
     {
         std::vector<tcp::socket> readers;
         for (std::size_t index = 0; index < count; ++index)
@@ -476,7 +481,7 @@
             reader.open(tcp::v4());
             reader.set_option(
                 asio::socket_base::receive_buffer_size(receive_buffer_bytes));
-            reader.connect(this->endpoint_of(0));
+            reader.connect(this->endpoint_of(instance));
             asio::write(reader,
                         asio::buffer(fmt::format(
                             "GET /browse/1?bytes={} HTTP/1.1\r\n"
@@ -631,6 +636,30 @@
     this->watch->expect_in_bounds();
 }
 
+// Guards against unread answers of which the owner of the service, another
+// instance, is not told, or whose instance is not told that they have to end.
+// Whichever of the two instances the owner is, the other one is told.
+TEST_F(an_instance_with_few_slots, ends_unread_answers_of_another_instance)
+{
+    constexpr std::size_t reader_count = 30;
+    this->start(full_body_bytes, long_timeout, 2);
+    for (std::size_t index = 0; index < this->instances.size(); ++index)
+    {
+        asio::io_context io;
+        const auto readers =
+            this->ask_for_answers(io, reader_count, small_buffer_bytes, index);
+        EXPECT_TRUE(eventually(
+            [this, index]
+            {
+                return this->instances[index]->log().find(
+                           "event=unread_answer_ended") != std::string::npos;
+            }))
+            << index;
+    }
+    this->expect_ordinary_served();
+    this->watch->expect_in_bounds();
+}
+
 // Guards against an answer that is cut although nobody needs its server: its
 // client only reads late.
 TEST_F(an_instance_with_few_slots, cuts_no_answer_that_is_read_late)
@@ -653,7 +682,6 @@
     constexpr std::size_t reader_count = 30;
     constexpr std::size_t bytes_per_step = 50'000;
     constexpr auto step = 50ms;
-    constexpr int usual_buffer_bytes = 131'072;
     this->start();
     asio::io_context io;
     auto readers = this->ask_for_answers(io, 1, usual_buffer_bytes);
